--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -625,5 +625,8 @@
             std::mem::take(&mut self.counts);
         let (held, out) = (self.journal.image.held.len(), self.out.len());
         info!(taken, busy, delivered, failed, returned, calls, held, out, ?latest, "load");
+        if let Some((to, waiting, routes)) = self.courier.longest_queue(self.clock.now()) {
+            info!(destination = to.0, waiting, ?routes, "the longest queue");
+        }
     }
 }
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -8,7 +8,7 @@
 mod seldom;
 mod wire;
 
-use cloverstile::{parse_settings_json, SettingError};
+use cloverstile::{parse_settings_json, SettingError, Settings};
 use serde::Deserialize;
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
@@ -114,6 +114,8 @@
     let config = read_config(&path)?;
     let parsed = parse_settings_json(&config.settings)?;
     let slots = parsed.settings.call_slots;
+    let Settings { couriers, most_held, connect_timeout, conn_idle, kinds, .. } = &parsed.settings;
+    info!(couriers, slots, most_held, ?connect_timeout, ?conn_idle, ?kinds, "the settings");
     // Any text serves as a seed, but two couriers must not act alike.
     let seed = u64::from_str_radix(&config.seed, 16)
         .unwrap_or_else(|_| u64::from(crc32fast::hash(config.seed.as_bytes())));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -178,6 +178,20 @@
         wait.max(backlog).clamp(aim.mul_f64(BACKOFF_BASE_OF_AIM), aim.mul_f64(BACKOFF_CAP_OF_AIM))
     }
 
+    /// The destination with the longest queue, how many wait there, and what holds them up.
+    pub fn longest_queue(&mut self, now: Time) -> Option<(DestinationId, usize, Vec<RouteState>)> {
+        let (to, queue) = self.queues.iter().max_by_key(|(_, queue)| queue.len())?;
+        let (to, waiting) = (*to, queue.len());
+        let routes: Vec<RouteId> = self.routes.range(routes_of(to)).map(|(id, _)| *id).collect();
+        let state = |id: RouteId| {
+            let pace = self.pace(now, id);
+            let route = &self.routes[&id];
+            let (wait, sick) = (route.told_wait - now, route.spell.is_some());
+            RouteState { endpoint: id.1, out: route.out.len(), pace, wait, sick }
+        };
+        Some((to, waiting, routes.into_iter().map(state).collect()))
+    }
+
     /// Acts on all that was recorded.
     pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.answer_due(now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -317,6 +317,21 @@
     pub share: f64,
 }
 
+/// Why a route takes no more than it does, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouteState {
+    /// The endpoint, where its endpoints are separate routes.
+    pub endpoint: Option<EndpointId>,
+    /// Calls out.
+    pub out: usize,
+    /// Calls a second that this courier may send now.
+    pub pace: f64,
+    /// What is left of a told wait.
+    pub wait: Duration,
+    /// Held to be out.
+    pub sick: bool,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
