Send what goes to a bulk endpoint in one go as one batch call

The module deals with up to KindBatch messages as one call, the network code sent each as a call of its own. A bulk partner's limit counts calls, so its queue grew without end while slots stood free.

The log line of the longest queue showed a bulk destination with healthy routes whose pace in calls was all that bound it.

A call waits once, for as long as any of its messages may; a wait told beside the ends of the messages binds; an answer that cannot be read may have run. base64 encodes the bodies.

--- a/src/bin/gullcart/calls.rs
+++ b/src/bin/gullcart/calls.rs
@@ -1,5 +1,6 @@
 //! Connections to endpoints: one call each at a time, and how it ended.
 
+use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use cloverstile::{Allowance, EndpointId, Outcome};
 use http_body_util::{BodyExt, Full, Limited};
@@ -7,6 +8,8 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -29,6 +32,8 @@
 const LINGER: Duration = Duration::from_millis(40);
 /// The body of an answer means nothing; a longer one, or a longer wait for its end, is not worth the connection.
 const LONGEST_BODY: u64 = 64 << 10;
+/// Of a message among several: the names, quotes and commas around its id, key and body.
+const BATCHED_REST: usize = 40;
 const DRAIN: Duration = Duration::from_millis(500);
 /// Longest head of an answer.
 const LONGEST_HEAD: usize = 16 << 10;
@@ -40,13 +45,27 @@
 /// A longer wait than this is no wait that anybody can mean.
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 
-/// What a call carries.
-pub struct Call {
-    pub endpoint: EndpointId,
-    pub address: SocketAddr,
+/// A message on its way.
+#[derive(Clone)]
+pub struct Load {
     pub id: String,
     pub idempotency_key: Option<String>,
     pub body: Bytes,
+}
+
+impl Load {
+    /// What it adds to the body of a call for several, at most.
+    pub fn batched_size(&self) -> usize {
+        let key = self.idempotency_key.as_ref().map_or(0, String::len);
+        self.body.len().div_ceil(3) * 4 + self.id.len() + key + BATCHED_REST
+    }
+}
+
+/// What a call carries: one message, or several for an endpoint that takes them together.
+pub struct Call {
+    pub endpoint: EndpointId,
+    pub address: SocketAddr,
+    pub loads: Vec<Load>,
     pub try_for: Duration,
 }
 
@@ -59,8 +78,8 @@
     Withdrawn,
 }
 
-/// How a call ended.
-#[derive(Debug)]
+/// How a call ended for one of its messages.
+#[derive(Clone, Copy, Debug)]
 pub struct Ended {
     pub outcome: Outcome,
     pub latency: Duration,
@@ -69,6 +88,12 @@
     pub allowance: Option<Allowance>,
 }
 
+/// How a call ended: for each of its messages, in their order, and the wait that a whole answer told beside them.
+pub struct CallEnded {
+    pub each: Vec<Ended>,
+    pub wait: Option<Duration>,
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// An open connection. Dropping it closes it.
@@ -209,10 +234,19 @@
         call: Call,
         mut stop: oneshot::Receiver<Stop>,
         sent: Rc<Cell<bool>>,
-    ) -> Ended {
+    ) -> CallEnded {
         let start = Instant::now();
         let end = start + call.try_for;
-        let ended = |outcome| Ended { outcome, latency: start.elapsed(), complete: false, allowance: None };
+        let count = call.loads.len();
+        let all = |ended: Ended| CallEnded { each: vec![ended; count], wait: None };
+        let ended = |outcome| {
+            all(Ended {
+                outcome,
+                latency: start.elapsed(),
+                complete: outcome == Outcome::Ok,
+                allowance: None,
+            })
+        };
         loop {
             let until = end.min(start + self.connect_timeout);
             let (mut connection, fresh) = tokio::select! {
@@ -230,14 +264,13 @@
             let end_of_call = tokio::select! {
                 biased;
                 answer = send(&mut connection.sender, request) => match answer {
-                    Ok(response) => return self.read(call.endpoint, connection, response, start).await,
+                    Ok(response) => return self.read(&call, connection, response, start).await,
                     Err(_) => End::Broken,
                 },
                 () = sleep_until(end) => End::TimedOut,
                 () = wire.head_is_late(HEAD) => End::Broken,
                 reason = &mut stop => End::Stopped(reason.ok()),
             };
-            let latency = start.elapsed();
             let outcome = match end_of_call {
                 // Not a byte of it was written: it has never run.
                 End::Broken if wire.is_untouched() && !fresh => {
@@ -248,18 +281,19 @@
                 }
                 End::Stopped(reason) if wire.is_untouched() => never_sent(reason),
                 End::Broken | End::TimedOut if wire.is_untouched() => Outcome::ConnectFailed,
-                // What the first line says is true, whatever came behind it.
-                _ if wire.status() == Some(200) => Outcome::Ok,
+                // What the first line says is true, whatever came behind it; for several the body says it.
+                _ if wire.status() == Some(200) && count == 1 => Outcome::Ok,
                 End::Broken if wire.is_answered() => Outcome::Spoilt,
                 // Some of it was written, and how much of that arrived cannot be told: it may have run.
                 End::Broken => Outcome::Reset,
                 End::TimedOut => Outcome::Timeout,
                 End::Stopped(_) => Outcome::Cancelled,
             };
+            let ended = ended(outcome);
             if !matches!(end_of_call, End::Broken) {
                 connection.give_up().await;
             }
-            return Ended { latency, complete: outcome == Outcome::Ok, ..ended(outcome) };
+            return ended;
         }
     }
 
@@ -267,21 +301,31 @@
     /// line is enough.
     async fn read(
         self: &Rc<Self>,
-        endpoint: EndpointId,
+        call: &Call,
         connection: Connection,
         response: Response<Incoming>,
         start: Instant,
-    ) -> Ended {
-        let ended = read_answer(&response, start.elapsed());
-        let rest = finish(self.clone(), endpoint, connection, response);
-        if matches!(ended.outcome, Outcome::Ok | Outcome::Error) {
+    ) -> CallEnded {
+        let several = call.loads.len() > 1;
+        let ended = read_answer(&response, start.elapsed(), several);
+        let all = |ended: Ended| CallEnded { each: vec![ended; call.loads.len()], wait: None };
+        let delivered = ended.outcome == Outcome::Ok;
+        let wait = told_wait(&response);
+        let rest = finish(self.clone(), call.endpoint, connection, response);
+        if ended.outcome == Outcome::Error || (delivered && !several) {
             tokio::task::spawn_local(rest);
-            return ended;
+            return all(ended);
         }
-        if rest.await {
-            ended
-        } else {
-            Ended { outcome: Outcome::Spoilt, complete: false, allowance: None, ..ended }
+        match rest.await {
+            None => all(Ended { outcome: Outcome::Spoilt, complete: false, allowance: None, ..ended }),
+            Some(body) if delivered => {
+                let states: Vec<State> = serde_json::from_slice(&body).unwrap_or_default();
+                let state = |load: &Load| state_of(&states, &load.id, wait);
+                let each = call.loads.iter().map(state);
+                let each = each.map(|(outcome, complete)| Ended { outcome, complete, ..ended }).collect();
+                CallEnded { each, wait }
+            }
+            Some(_) => all(ended),
         }
     }
 }
@@ -308,25 +352,73 @@
 }
 
 fn request(call: &Call) -> hyper::http::Result<Request<Full<Bytes>>> {
-    let mut request = Request::post("/hook")
-        .header("Host", call.address.to_string())
-        .header("X-Call-Id", &call.id)
-        .header("X-Budget", format!("{:.3}", call.try_for.as_secs_f64()));
-    if let Some(key) = &call.idempotency_key {
+    let request = |path| {
+        Request::post(path)
+            .header("Host", call.address.to_string())
+            .header("X-Budget", format!("{:.3}", call.try_for.as_secs_f64()))
+    };
+    let [load] = call.loads.as_slice() else {
+        return request("/hook/batch")
+            .header("Content-Type", "application/json")
+            .body(Full::new(batch_body(&call.loads)));
+    };
+    let mut request = request("/hook").header("X-Call-Id", &load.id);
+    if let Some(key) = &load.idempotency_key {
         request = request.header("Idempotency-Key", key);
     }
-    request.body(Full::new(call.body.clone()))
+    request.body(Full::new(load.body.clone()))
+}
+
+/// Several messages in one body.
+fn batch_body(loads: &[Load]) -> Bytes {
+    let items = loads.iter().map(|load| {
+        let mut item = json!({"id": load.id, "body": BASE64_STANDARD.encode(&load.body)});
+        if let Some(key) = &load.idempotency_key {
+            item["key"] = key.as_str().into();
+        }
+        item
+    });
+    Bytes::from(Value::from_iter(items).to_string())
+}
+
+/// What became of one message of several.
+#[derive(Deserialize)]
+struct State {
+    id: String,
+    state: String,
+}
+
+/// The outcome for one message, and whether the message is over. What is not told once, in words that are known,
+/// may have run.
+fn state_of(states: &[State], id: &str, wait: Option<Duration>) -> (Outcome, bool) {
+    let mut told = states.iter().filter(|state| state.id == id).map(|state| state.state.as_str());
+    match (told.next(), told.next()) {
+        (Some("ok"), None) => (Outcome::Ok, true),
+        (Some("error"), None) => (Outcome::Error, false),
+        (Some("later"), None) => (Outcome::Full(wait), false),
+        (Some("gone"), None) => (Outcome::Moot, true),
+        (Some("exhausted"), None) => (Outcome::Spent, false),
+        _ => (Outcome::Spoilt, false),
+    }
+}
+
+fn header<'a>(response: &'a Response<Incoming>, name: &str) -> Option<&'a str> {
+    response.headers().get(name).and_then(|value| value.to_str().ok())
+}
+
+/// The wait that an answer tells, if any.
+fn told_wait(response: &Response<Incoming>) -> Option<Duration> {
+    let ms = header(response, "X-Come-Back-Ms").and_then(|text| text.trim().parse().ok());
+    ms.filter(|ms| *ms > 0).map(|ms| Duration::from_millis(ms).min(LONGEST_WAIT))
 }
 
-fn read_answer(response: &Response<Incoming>, latency: Duration) -> Ended {
-    let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
+fn read_answer(response: &Response<Incoming>, latency: Duration, several: bool) -> Ended {
+    let header = |name: &str| header(response, name);
     let (outcome, complete) = match response.status().as_u16() {
         200 => (Outcome::Ok, true),
-        429 => {
-            let wait = header("X-Come-Back-Ms").and_then(|text| text.trim().parse().ok());
-            let wait = wait.filter(|ms| *ms > 0).map(|ms| Duration::from_millis(ms).min(LONGEST_WAIT));
-            (Outcome::Full(wait), false)
-        }
+        429 => (Outcome::Full(told_wait(response)), false),
+        // The call was not understood, or too large: none of it has run.
+        400 | 413 if several => (Outcome::Moot, false),
         503 if header("X-Line-Busy").is_some_and(|text| text.trim() == "1") => (Outcome::Moot, false),
         503 => (Outcome::Full(None), false),
         504 => (Outcome::Spent, false),
@@ -347,22 +439,22 @@
     sound.then_some(Allowance { left, limit })
 }
 
-/// Reads the rest of an answer, so that its connection can be used again; false where it is not whole.
+/// Reads the rest of an answer, so that its connection can be used again: the body; none where it is not whole.
 async fn finish(
     pool: Rc<Pool>,
     endpoint: EndpointId,
     mut connection: Connection,
     answer: Response<Incoming>,
-) -> bool {
+) -> Option<Bytes> {
     if answer.body().size_hint().lower() > LONGEST_BODY {
-        return false;
+        return None;
     }
     // Where its end is told in two ways, one of them may be wrong.
     let headers = answer.headers();
     let two_ends = headers.contains_key("content-length") && headers.contains_key("transfer-encoding");
     let body = Limited::new(answer.into_body(), LONGEST_BODY as usize).collect();
-    let whole = matches!(timeout(DRAIN, body).await, Ok(Ok(_)));
-    if whole && !two_ends {
+    let body = timeout(DRAIN, body).await.ok()?.ok()?.to_bytes();
+    if !two_ends {
         tokio::task::spawn_local(async move {
             // Ready once all of the answer is read, and closed when something came behind it: the connection's
             // own task has looked by then.
@@ -374,7 +466,7 @@
             }
         });
     }
-    whole
+    Some(body)
 }
 
 async fn connect(address: SocketAddr, descriptor: Descriptor) -> io::Result<Connection> {
--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -63,6 +63,8 @@
 pub struct Directory {
     zones: Vec<String>,
     kinds: Vec<String>,
+    /// Messages in one call at most, by kind.
+    batches: Vec<usize>,
     last: u32,
     numbers: HashMap<String, EndpointId>,
     entries: BTreeMap<EndpointId, Entry>,
@@ -74,6 +76,7 @@
     destination: DestinationId,
     address: Option<SocketAddr>,
     mode: Mode,
+    batch: usize,
 }
 
 impl Directory {
@@ -81,6 +84,7 @@
         Directory {
             zones: parsed.zone_names.clone(),
             kinds: parsed.kind_names.clone(),
+            batches: parsed.settings.kinds.iter().map(|kind| kind.batch.max(1)).collect(),
             last: 0,
             numbers: HashMap::new(),
             entries: BTreeMap::new(),
@@ -95,6 +99,11 @@
         self.entries.get(&id).map_or(ZoneId(0), |entry| entry.zone)
     }
 
+    /// Messages that one call to an endpoint may carry.
+    pub fn batch(&self, id: EndpointId) -> usize {
+        self.entries.get(&id).map_or(1, |entry| entry.batch)
+    }
+
     pub fn destination(&self, id: EndpointId) -> Option<DestinationId> {
         self.entries.get(&id).map(|entry| entry.destination)
     }
@@ -153,7 +162,8 @@
         let zone = ZoneId(place(&mut self.zones, &target.az));
         let kind = KindId(place(&mut self.kinds, &target.model).into());
         let (uid, destination) = (target.uid.clone(), DestinationId(target.pod_group));
-        self.entries.insert(id, Entry { uid, zone, destination, address, mode });
+        let batch = self.batches.get(usize::from(kind.0)).copied().unwrap_or(1);
+        self.entries.insert(id, Entry { uid, zone, destination, address, mode, batch });
         Endpoint { id, zone, kind, destination, mode, weight: target.capacity_hint }
     }
 }
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -3,6 +3,7 @@
 use cloverstile::*;
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -10,7 +11,7 @@
 use tokio::time::{interval, sleep_until, Instant};
 use tracing::{error, info, warn};
 
-use crate::calls::{Call, Ended, Pool, Stop};
+use crate::calls::{Call, CallEnded, Ended, Load, Pool, Stop};
 use crate::clients::{Answer, Enqueue};
 use crate::discovery::{Directory, Notice, Update};
 use crate::journal::{Held, Journal, JournalError, OutageNote, Taken, Verdict};
@@ -35,6 +36,8 @@
 pub const IDLE_OF_SLOTS: usize = 4;
 /// Rounds in which requests that were read before the end are still answered.
 const LAST_ROUNDS: usize = 8;
+/// Longest body of a call.
+const LONGEST_BODY: usize = 64 << 10;
 
 /// What happens, from all the other parts.
 pub enum Input {
@@ -42,7 +45,8 @@
     /// A client was gone before it could be told that its message was taken on, by its own hand-in.
     Unheard(MessageId),
     Listed(Update),
-    Ended(MessageId, EndpointId, Ended),
+    /// What became of the messages of one call.
+    Ended(EndpointId, Vec<MessageId>, CallEnded),
     /// The platform has these notices.
     Heard(Vec<MessageId>),
     Terminate,
@@ -102,10 +106,23 @@
 
 struct Out {
     endpoint: EndpointId,
-    stop: Option<oneshot::Sender<Stop>>,
+    call: Rc<CallOut>,
+    attempt: u16,
+}
+
+/// A call that is out, which its messages share.
+struct CallOut {
+    stop: Cell<Option<oneshot::Sender<Stop>>>,
     /// Its first byte has gone.
     sent: Rc<Cell<bool>>,
-    attempt: u16,
+}
+
+impl CallOut {
+    fn stop(&self, reason: Stop) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(reason);
+        }
+    }
 }
 
 /// An attempt that was not made.
@@ -361,7 +378,7 @@
             }
             Input::Unheard(message) => self.unheard(now, message),
             Input::Listed(update) => self.listed(now, update),
-            Input::Ended(message, endpoint, ended) => self.ended(now, message, endpoint, ended),
+            Input::Ended(endpoint, messages, ended) => self.call_ended(now, endpoint, &messages, &ended),
             Input::Heard(messages) => {
                 for message in messages {
                     self.over(message);
@@ -467,22 +484,38 @@
     /// Takes back the calls to some endpoints that are still connecting: by the time their connections are up
     /// they would be new work for an endpoint that drains, or calls inside a told wait.
     fn withdraw(&mut self, which: impl Fn(EndpointId, &Directory) -> bool) {
-        let unsent = |out: &&mut Out| !out.sent.get() && which(out.endpoint, &self.directory);
-        for out in self.out.values_mut().filter(unsent) {
-            if let Some(stop) = out.stop.take() {
-                let _ = stop.send(Stop::Withdrawn);
-            }
+        let unsent = |out: &&Out| !out.call.sent.get() && which(out.endpoint, &self.directory);
+        for out in self.out.values().filter(unsent) {
+            out.call.stop(Stop::Withdrawn);
         }
     }
 
+    fn call_ended(&mut self, now: Time, endpoint: EndpointId, messages: &[MessageId], ended: &CallEnded) {
+        let CallEnded { each, wait } = ended;
+        if let Some(wait) = *wait {
+            self.told_to_wait(endpoint, wait);
+            self.courier.handle(now, Event::ToldWait { endpoint, wait });
+        }
+        // The module judges an endpoint by the last outcome of a call: those that say nothing of it come first.
+        let mut each: Vec<(MessageId, Ended)> = messages.iter().copied().zip(each.iter().copied()).collect();
+        each.sort_by_key(|(_, ended)| !matches!(ended.outcome, Outcome::Moot | Outcome::Spent));
+        for (message, ended) in each {
+            self.ended(now, message, endpoint, ended);
+        }
+    }
+
+    fn told_to_wait(&mut self, endpoint: EndpointId, wait: Duration) {
+        let destination = self.directory.destination(endpoint);
+        if let Some(more) = self.wait_lines.due() {
+            info!(?destination, ?wait, more, "told to wait");
+        }
+        self.withdraw(|other, directory| directory.destination(other) == destination);
+    }
+
     fn ended(&mut self, now: Time, message: MessageId, endpoint: EndpointId, ended: Ended) {
         let Some(out) = self.out.remove(&message) else { return };
         if let Outcome::Full(Some(wait)) = ended.outcome {
-            let destination = self.directory.destination(endpoint);
-            if let Some(more) = self.wait_lines.due() {
-                info!(?destination, ?wait, more, "told to wait");
-            }
-            self.withdraw(|other, directory| directory.destination(other) == destination);
+            self.told_to_wait(endpoint, wait);
         }
         if ended.complete {
             self.counts.delivered += u32::from(ended.outcome == Outcome::Ok);
@@ -525,20 +558,32 @@
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
         self.courier.decide(now, &mut actions);
-        for action in actions.drain(..) {
-            self.act(now, action);
+        // What the module sends to one endpoint in one go shares calls.
+        let target = |action: &Action| match action {
+            Action::Route { endpoint, .. } => Some(*endpoint),
+            _ => None,
+        };
+        for group in actions.chunk_by(|a, b| target(a).is_some() && target(a) == target(b)) {
+            match target(&group[0]) {
+                Some(endpoint) => {
+                    for call in group.chunks(self.directory.batch(endpoint)) {
+                        self.route(now, endpoint, call);
+                    }
+                }
+                None => self.act(now, &group[0]),
+            }
         }
+        actions.clear();
         self.actions = actions;
         self.note_outages();
     }
 
-    fn act(&mut self, now: Time, action: Action) {
-        match action {
-            Action::Route { message, endpoint, try_for } => self.route(now, message, endpoint, try_for),
+    fn act(&mut self, now: Time, action: &Action) {
+        match *action {
             Action::StopAttempt { message, .. } => {
-                // A message has one attempt out at most.
-                if let Some(stop) = self.out.get_mut(&message).and_then(|out| out.stop.take()) {
-                    let _ = stop.send(Stop::CalledOff);
+                // A message has one attempt out at most. The others of its call end with it.
+                if let Some(out) = self.out.get(&message) {
+                    out.call.stop(Stop::CalledOff);
                 }
             }
             Action::Busy { message, after } => {
@@ -551,35 +596,80 @@
             }
             Action::Wake { after, token } => self.wake = Some((self.clock.instant(now + after), token)),
             Action::CloseIdle { endpoint } => self.pool.close(endpoint),
-            Action::Log { text } => info!("{text}"),
-            // The watch is always on, and the deployment permits neither probes nor notes.
-            Action::KeepInformed { .. } | Action::Refresh | Action::Probe { .. } | Action::Tell { .. } => {}
+            Action::Log { ref text } => info!("{text}"),
+            // Routes have gone out as calls. The watch is always on, and the deployment permits neither probes
+            // nor notes.
+            Action::Route { .. }
+            | Action::KeepInformed { .. }
+            | Action::Refresh
+            | Action::Probe { .. }
+            | Action::Tell { .. } => {}
+        }
+    }
+
+    /// Sends messages to an endpoint in one call; in more where their bodies are too long for one.
+    fn route(&mut self, now: Time, endpoint: EndpointId, routes: &[Action]) {
+        let address = self.directory.address(endpoint);
+        let zone = self.directory.zone(endpoint).0;
+        let (mut carried, mut size) = (Vec::new(), 0);
+        for route in routes {
+            let Action::Route { message, try_for, .. } = *route else { continue };
+            let load = self.journal.image.held.get(&message.0).map(|held| Load {
+                id: held.taken.id.clone(),
+                idempotency_key: held.taken.idempotency_key.clone(),
+                body: held.taken.body.clone(),
+            });
+            // An attempt that the next process would not know of is not made.
+            let written = self.journal.start(message.0, (self.clock.to_wall(now), zone));
+            let known = load.zip(address).filter(|_| written.is_ok());
+            self.note(written);
+            let Some((load, address)) = known else {
+                self.not_made(message, endpoint);
+                continue;
+            };
+            if size + load.batched_size() > LONGEST_BODY && !carried.is_empty() {
+                self.call(endpoint, address, std::mem::take(&mut carried));
+                size = 0;
+            }
+            size += load.batched_size();
+            carried.push((message, load, try_for));
         }
+        if let Some(address) = address.filter(|_| !carried.is_empty()) {
+            self.call(endpoint, address, carried);
+        }
+    }
+
+    fn not_made(&mut self, message: MessageId, endpoint: EndpointId) {
+        let call = CallOut { stop: Cell::default(), sent: Rc::default() };
+        self.take_out(message, endpoint, &Rc::new(call));
+        let ended = CallEnded { each: vec![NOT_MADE], wait: None };
+        let _ = self.inputs.send(Input::Ended(endpoint, vec![message], ended));
+    }
+
+    fn take_out(&mut self, message: MessageId, endpoint: EndpointId, call: &Rc<CallOut>) {
+        let attempts = self.journal.image.held.get(&message.0).map_or(0, |held| held.attempts);
+        let attempt = attempts.saturating_sub(1) as u16;
+        self.out.insert(message, Out { endpoint, call: call.clone(), attempt });
     }
 
-    fn route(&mut self, now: Time, message: MessageId, endpoint: EndpointId, try_for: Duration) {
+    fn call(&mut self, endpoint: EndpointId, address: SocketAddr, carried: Vec<(MessageId, Load, Duration)>) {
         let (stop, stopped) = oneshot::channel();
         let sent = Rc::new(Cell::new(false));
-        let held = self.journal.image.held.get(&message.0);
-        let attempt = held.map_or(0, |held| held.attempts as u16);
-        let taken = held.map(|held| held.taken.clone());
-        self.out.insert(message, Out { endpoint, stop: Some(stop), sent: sent.clone(), attempt });
-        // An attempt that the next process would not know of is not made.
-        let start = (self.clock.to_wall(now), self.directory.zone(endpoint).0);
-        let written = self.journal.start(message.0, start);
-        let known = taken.zip(self.directory.address(endpoint)).filter(|_| written.is_ok());
-        self.note(written);
-        let Some((taken, address)) = known else {
-            let _ = self.inputs.send(Input::Ended(message, endpoint, NOT_MADE));
-            return;
-        };
+        let out = Rc::new(CallOut { stop: Cell::new(Some(stop)), sent: sent.clone() });
+        // One call waits once: for as long as any of its messages may.
+        let try_for = carried.iter().map(|(.., try_for)| *try_for).max().unwrap_or_default();
+        let (mut messages, mut loads) = (Vec::new(), Vec::new());
+        for (message, load, _) in carried {
+            self.take_out(message, endpoint, &out);
+            messages.push(message);
+            loads.push(load);
+        }
         self.counts.calls += 1;
-        let Taken { id, idempotency_key, body, .. } = taken;
-        let call = Call { endpoint, address, id, idempotency_key, body, try_for };
+        let call = Call { endpoint, address, loads, try_for };
         let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let ended = pool.call(call, stopped, sent).await;
-            let _ = inputs.send(Input::Ended(message, endpoint, ended));
+            let _ = inputs.send(Input::Ended(endpoint, messages, ended));
         });
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -145,6 +145,7 @@
                 self.forget_if_over(id);
             }
             Event::Closing(at) => self.closing = Some(at),
+            Event::ToldWait { endpoint, wait } => self.on_told_wait(now, endpoint, wait),
             Event::Finished(finished) => self.on_finished(now, finished),
             Event::ClientGone(id) => self.close(id),
             Event::TickDue(token) => self.wake = self.wake.filter(|(_, set)| *set != token),
@@ -334,14 +335,18 @@
         over
     }
 
+    fn on_told_wait(&mut self, now: Time, endpoint: EndpointId, wait: Duration) {
+        let route = self.addresses.get(&endpoint).map(|a| self.route_of(&a.entry));
+        if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
+            route.told_wait = route.told_wait.max(now + wait);
+        }
+    }
+
     fn on_finished(&mut self, now: Time, finished: Finished) {
         // A wait binds from the batch that tells it, whichever message of a call brings it, and whatever
         // became of that message.
         if let Outcome::Full(Some(wait)) = finished.outcome {
-            let route = self.addresses.get(&finished.endpoint).map(|a| self.route_of(&a.entry));
-            if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
-                route.told_wait = route.told_wait.max(now + wait);
-            }
+            self.on_told_wait(now, finished.endpoint, wait);
         }
         let Some(message) = self.messages.get_mut(&finished.message) else { return };
         let Some(call_id) = message.out.take() else { return };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -400,6 +400,14 @@
     Heard(MessageId),
     /// The courier ends at this time: no call is begun that would not be over by then.
     Closing(Time),
+    /// An answer that took messages on told to wait all the same. Refusals bring their own
+    /// ([`Outcome::Full`]).
+    ToldWait {
+        /// Who told it.
+        endpoint: EndpointId,
+        /// How long, from now.
+        wait: Duration,
+    },
     /// An attempt ended.
     Finished(Finished),
     /// Nobody wants this message any more; no answer is owed.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -28,6 +28,7 @@
 /// A call out at an endpoint. One that is dropped unanswered hangs.
 pub struct Call {
     pub endpoint: usize,
+    pub path: String,
     pub id: String,
     pub body: Vec<u8>,
     headers: Vec<(String, String)>,
@@ -44,6 +45,23 @@
         self.raw(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n").as_bytes());
     }
 
+    /// The messages that a call for several carries: id, key, body in Base64.
+    pub fn batched(&self) -> Vec<(String, Option<String>, String)> {
+        assert_eq!(self.path, "/hook/batch");
+        let items: Vec<Value> = serde_json::from_slice(&self.body).unwrap();
+        let text = |item: &Value, name: &str| item[name].as_str().map(str::to_owned);
+        let each = |item| (text(item, "id").unwrap(), text(item, "key"), text(item, "body").unwrap());
+        items.iter().map(each).collect()
+    }
+
+    /// Answers a call for several with the end of each.
+    pub fn answer_each(self, headers: &str, states: &[(&str, &str)]) {
+        let states = states.iter().map(|(id, state)| json!({"id": id, "state": state}));
+        let body = Value::from_iter(states).to_string();
+        let head = format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+        self.raw((head + &body).as_bytes());
+    }
+
     /// Answers with these bytes, whatever they say.
     pub fn raw(self, bytes: &[u8]) {
         let _ = self.answer.send(Some(bytes.to_vec()));
@@ -106,11 +124,13 @@
 fn serve_calls(endpoint: usize, stream: TcpStream, seen: &Sender<Seen>) {
     let Ok(mut out) = stream.try_clone() else { return };
     let mut input = BufReader::new(stream);
-    while let Some(Request { headers, body, .. }) = read_request(&mut input) {
+    while let Some(Request { line, headers, body }) = read_request(&mut input) {
+        let path = line.split(' ').nth(1).unwrap_or_default().to_owned();
         let id = headers.iter().find(|(name, _)| name == "x-call-id").map(|(_, id)| id.clone());
         let (answer, answered) = channel();
         let Ok(connection) = out.try_clone() else { return };
-        let call = Call { endpoint, id: id.unwrap_or_default(), body, headers, answer, connection };
+        let id = id.unwrap_or_default();
+        let call = Call { endpoint, path, id, body, headers, answer, connection };
         if seen.send(Seen::Call(call)).is_err() {
             return;
         }
@@ -220,6 +240,8 @@
     aim: u64,
     pub most_held: u32,
     pub slots: u32,
+    /// Messages that one call may carry.
+    pub batch: u32,
     pub sockets: u32,
     /// Each endpoint has a destination of its own, from 1 on.
     pub apart: bool,
@@ -264,6 +286,7 @@
             aim: 3,
             most_held: 400,
             slots: 16,
+            batch: 1,
             sockets: 1024,
             apart: false,
             disk_mb,
@@ -364,7 +387,7 @@
             "known": {"rev": 1, "all": true, "targets": targets},
             "settings": {
                 "Balancers": 1, "Lanes": classes, "MachineTypes": ["banks"], "Zones": ["kingston"],
-                "WeightSource": "nominal", "FamilyInfo": {"CallsOut": self.slots, "KindBatch": [1], "OwnLimits": [false]},
+                "WeightSource": "nominal", "FamilyInfo": {"CallsOut": self.slots, "KindBatch": [self.batch], "OwnLimits": [false]},
                 "Permissions": {"MostHeld": self.most_held, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64, "ConnectTimeout": 5_000_000_000_u64},
                 "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Fall": 2_000_000_000},
             },
