Count each message against its own tenant's share

The courier never read t= and told the module tenant 0 for every message, so most traffic counted as beyond the first franchisee's share and was served by chance; the others' shares were never used.

The tenant is journaled in a record of its own, so that journals of the version before stay readable. Ruled out as the reason for the worst tenant: its destinations' routes were healthy and inside their pace while its messages waited for slots.

--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -58,6 +58,8 @@
     pub id: String,
     pub key: u64,
     pub class: String,
+    /// Empty where none is told.
+    pub tenant: String,
     pub destination: u16,
     /// How long it may still be delivered.
     pub left: Duration,
@@ -547,6 +549,7 @@
             id,
             key,
             class: field("c").ok_or("c is missing")?.to_owned(),
+            tenant: field("t").unwrap_or_default().to_owned(),
             destination: field("dest").and_then(|v| v.parse().ok()).ok_or("dest is missing or no number")?,
             left: field("d")
                 .and_then(|v| v.parse().ok())
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -148,6 +148,7 @@
     directory: Directory,
     pool: Rc<Pool>,
     class_names: Vec<String>,
+    tenant_names: Vec<String>,
     classes: Vec<Class>,
     most_held: usize,
     /// The messages held, by their ids.
@@ -190,6 +191,7 @@
         ));
         let mut driver = Driver {
             class_names: parsed.class_names,
+            tenant_names: parsed.tenant_names,
             classes: settings.classes.clone(),
             most_held: settings.most_held,
             courier: Courier::new(settings, seed),
@@ -290,7 +292,7 @@
             key: (taken.key != 0).then_some(OrderKey(taken.key)),
             deadline: self.clock.of_wall(taken.deadline_ms),
             from_dead_courier: taken.again,
-            tenant: TenantId(0),
+            tenant: self.tenant(&taken.tenant),
         })
     }
 
@@ -298,6 +300,12 @@
         self.class_names.iter().position(|known| known == name).map(|at| ClassId(at as u8))
     }
 
+    /// The place of a tenant in the settings; one that these do not name has no share that it could pass.
+    fn tenant(&self, name: &str) -> TenantId {
+        let at = self.tenant_names.iter().position(|known| known == name);
+        TenantId(at.and_then(|at| u32::try_from(at).ok()).unwrap_or(u32::MAX))
+    }
+
     /// Runs until the process is to end.
     pub async fn run(mut self, mut events: UnboundedReceiver<Input>) {
         let mut sweep = interval(SWEEP);
@@ -424,6 +432,7 @@
             id: enqueue.id,
             key: enqueue.key,
             class: enqueue.class,
+            tenant: enqueue.tenant,
             destination: enqueue.destination,
             idempotency_key: enqueue.idempotency_key,
             deadline_ms: self.clock.to_wall(now + enqueue.left.min(most)),
--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -54,6 +54,9 @@
     pub deadline_ms: u64,
     pub again: bool,
     pub body: Bytes,
+    /// By name; empty where none was told. In a record of its own, as older journals have none.
+    #[serde(skip)]
+    pub tenant: String,
 }
 
 /// How a message ends that was not delivered.
@@ -121,6 +124,8 @@
     Outages(Vec<OutageNote>),
     /// Every destination that was ever listed.
     Destinations(Vec<u16>),
+    /// Whose message it is.
+    Tenant(u32, String),
 }
 
 /// What the records add up to.
@@ -183,6 +188,11 @@
                 }
             }
             Record::Outages(outages) => self.outages = outages,
+            Record::Tenant(number, tenant) => {
+                if let Some(held) = self.held.get_mut(&number) {
+                    held.taken.tenant = tenant;
+                }
+            }
             Record::Destinations(destinations) => self.destinations.extend(destinations),
         }
     }
@@ -229,8 +239,14 @@
         if self.live + more > self.part(LIVE_PART) {
             return Err(JournalError::Full);
         }
+        let tenant = taken.tenant.clone();
         self.append(Record::Take(number, taken))?;
         self.live += more;
+        // Taken on already, so that a failure here is none of the hand-in: without this record the next process
+        // does not know whose the message is, and the next one written tells of the disk.
+        if !tenant.is_empty() {
+            let _ = self.append(Record::Tenant(number, tenant));
+        }
         Ok(number)
     }
 
@@ -317,6 +333,9 @@
         write(Record::Outages(self.image.outages.clone()))?;
         for (number, held) in &self.image.held {
             write(Record::Whole(*number, held.clone()))?;
+            if !held.taken.tenant.is_empty() {
+                write(Record::Tenant(*number, held.taken.tenant.clone()))?;
+            }
         }
         let file = file.into_inner().map_err(io::IntoInnerError::into_error)?;
         fs::rename(new, &self.path)?;
@@ -325,7 +344,8 @@
 }
 
 fn taken_cost(taken: &Taken) -> u64 {
-    let texts = taken.id.len() + taken.class.len() + taken.idempotency_key.as_ref().map_or(0, String::len);
+    let key = taken.idempotency_key.as_ref().map_or(0, String::len);
+    let texts = taken.id.len() + taken.class.len() + taken.tenant.len() + key;
     (taken.body.len() + texts) as u64 + PER_MESSAGE
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -40,6 +40,8 @@
     pub limit_at: Option<usize>,
     /// Names of the classes, in the order of [`Settings::classes`].
     pub class_names: Vec<String>,
+    /// Names of the tenants, in the order of [`Settings::tenants`].
+    pub tenant_names: Vec<String>,
     /// Names of the kinds of destination, in the order of [`Settings::kinds`].
     pub kind_names: Vec<String>,
     /// Names of the locations.
@@ -178,11 +180,13 @@
         },
     };
     let names = |path: &str| lines.words(path).into_iter().map(str::to_owned).collect();
-    let class_name = |at: usize| lines.get::<String>(&format!("Lanes.{at}.Name")).ok().flatten();
+    let name_of =
+        |list: &str, at: usize| lines.get(&format!("{list}.{at}.Name")).ok().flatten().unwrap_or_default();
     Ok(Parsed {
         left_at: place("x0"),
         limit_at: place("x1"),
-        class_names: (0..settings.classes.len()).map(|at| class_name(at).unwrap_or_default()).collect(),
+        class_names: (0..settings.classes.len()).map(|at| name_of("Lanes", at)).collect(),
+        tenant_names: (0..settings.tenants.len()).map(|at| name_of("Projects", at)).collect(),
         kind_names: names("MachineTypes"),
         zone_names: names("Zones"),
         settings,
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -24,6 +24,45 @@
     world.nothing();
 }
 
+/// Who stays inside its share is served before who has passed its own, also after a restart.
+#[test]
+fn a_tenant_is_held_to_its_own_share() {
+    for restart in [false, true] {
+        let mut world = World::new(1, 3.0);
+        world.slots = 1;
+        let mut courier = world.start();
+        let mut client = courier.client();
+        assert_eq!(client.enqueue("first", "0", "salary,t=south", 1, b"x"), "+OK");
+        let first = world.call();
+        // North has no share at all, so that the order is no matter of time.
+        for (id, tenant) in [
+            ("n1", "north"),
+            ("s1", "south"),
+            ("n2", "north"),
+            ("s2", "south"),
+            ("n3", "north"),
+            ("s3", "south"),
+        ] {
+            assert_eq!(client.enqueue(id, "0", &format!("salary,t={tenant}"), 1, b"x"), "+OK");
+        }
+        if restart {
+            courier = courier.kill_and_restart();
+            assert_eq!(world.notice(), r#"{"id":"first","state":"failed"}"#);
+        } else {
+            first.answer("200 OK", "");
+        }
+        let mut order = Vec::new();
+        for _ in 0..6 {
+            let call = world.call();
+            order.push(call.id.clone());
+            call.answer("200 OK", "");
+        }
+        let inside = order.iter().take(3).all(|id| id.starts_with('s'));
+        assert!(inside, "after a restart: {restart}: {order:?}");
+        assert_eq!(courier.client().ask(&["PING"]), "+PONG");
+    }
+}
+
 /// Bad input is answered and harms nobody else: no panic, no recursion, no allocation by an announced length.
 #[test]
 fn malformed_input_is_answered_and_the_process_lives() {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -17,6 +17,9 @@
 MachineTypes=banks,employer-systems
 Permissions.Cancel=true
 Permissions.MostHeld=519
+Projects.count=1
+Projects.0.Name=north
+Projects.0.QuotaPerS=25.0
 Report.Fields=x0,x1
 Rules.ColdFrom=0.16
 Zones=kingston-dc
@@ -33,6 +36,7 @@
         }],
         "MachineTypes": ["banks", "employer-systems"],
         "Permissions": {"Cancel": true, "MostHeld": 519.0},
+        "Projects": [{"Name": "north", "QuotaPerS": 25.0}],
         "Report": {"Fields": ["x0", "x1"]},
         "Rules": {"ColdFrom": 0.16},
         "Zones": ["kingston-dc"],
@@ -42,6 +46,7 @@
     assert_eq!(format!("{lines:?}"), format!("{json:?}"));
     assert_eq!(json.settings.most_held, 519);
     assert_eq!(json.class_names, ["pay-notice"]);
+    assert_eq!(json.tenant_names, ["north"]);
     assert!(json.settings.kinds[1].own_limits);
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -387,6 +387,8 @@
             "known": {"rev": 1, "all": true, "targets": targets},
             "settings": {
                 "Balancers": 1, "Lanes": classes, "MachineTypes": ["banks"], "Zones": ["kingston"],
+                "Projects": [{"Name": "north", "QuotaPerS": 0.0}, {"Name": "south", "QuotaPerS": 1e6}],
+                "OverShareWorth": 0.2,
                 "WeightSource": "nominal", "FamilyInfo": {"CallsOut": self.slots, "KindBatch": [self.batch], "OwnLimits": [false]},
                 "Permissions": {"MostHeld": self.most_held, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64, "ConnectTimeout": 5_000_000_000_u64},
                 "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Fall": 2_000_000_000},
