Value late messages by the settings' decay

The settings say that worth falls by halves to a floor; the module took it to fall evenly up to the deadline, and served messages that had nothing more to lose before ones still on time. The test fails without the mend by its own terms: with the even fall, the late message goes first.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -727,11 +727,14 @@
         let class = self.class(message);
         let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
         let value = |age: f64| {
-            let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
-            if late > 1.0 || last.is_some_and(|end| age > end) {
+            if age > span || last.is_some_and(|end| age > end) {
                 return 0.0;
             }
-            1.0 - (1.0 - class.late_share) * late
+            let late = (age - aim).max(0.0);
+            match self.settings.decay {
+                Decay::Line => 1.0 - (1.0 - class.late_share) * late / (span - aim).max(0.001),
+                Decay::Halves => (-late / aim.max(0.001)).exp2().max(class.late_share),
+            }
         };
         let age = (now - message.born).as_secs_f64();
         let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -100,7 +100,7 @@
     pub in_order: bool,
     /// Worth of a message delivered on time.
     pub worth: f64,
-    /// Share of the worth that is left at the deadline.
+    /// Share of the worth that is left at the deadline, see [`Decay`].
     pub late_share: f64,
 }
 
@@ -146,6 +146,15 @@
     Rough,
 }
 
+/// How the worth of a message falls once its aim has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decay {
+    /// Evenly, down to [`Class::late_share`] at the deadline.
+    Line,
+    /// By half with each further aim, but not under [`Class::late_share`].
+    Halves,
+}
+
 /// The figures of the rules.
 #[derive(Clone, Debug)]
 pub struct Rules {
@@ -176,6 +185,8 @@
     pub kinds: Vec<Kind>,
     /// What weights mean.
     pub weights: WeightSource,
+    /// How worth falls after the aim.
+    pub decay: Decay,
     /// Calls that may be out at once.
     pub call_slots: usize,
     /// Messages that may be held; further ones are turned away before the courier.
@@ -206,6 +217,7 @@
             tenants: Vec::new(),
             kinds: vec![Kind { batch: 1, own_limits: false }],
             weights: WeightSource::Nominal,
+            decay: Decay::Line,
             call_slots: 16,
             most_held: 400,
             send_cap: 8,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The one reader of settings, shared by the bench adapter and the courier: path=value lines, or the same names
 //! as nested JSON, to [`Settings`]. Unknown paths are skipped.
 
-use crate::{Class, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource};
+use crate::{Class, Decay, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
@@ -161,6 +161,11 @@
                 ("live", WeightSource::Silent),
             ],
         )?,
+        decay: lines.choice(
+            "FamilyInfo.Decay",
+            base.decay,
+            &[("line", Decay::Line), ("halves", Decay::Halves)],
+        )?,
         call_slots: lines.or("FamilyInfo.CallsOut", base.call_slots)?,
         most_held: lines.or("Permissions.MostHeld", base.most_held)?,
         send_cap: lines.or("Permissions.SendCap", base.send_cap)?,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -378,6 +378,23 @@
     );
 }
 
+/// Where worth falls by halves to a floor, who has reached the floor loses nothing more by waiting, and who is
+/// still on time goes first; where it falls evenly, the late one goes on losing.
+#[test]
+fn what_waiting_loses_goes_by_the_settings_decay() {
+    for (decay, first) in [(Decay::Line, 1), (Decay::Halves, 2)] {
+        let aim = Duration::from_secs(3);
+        let class = Class { aim, deadline: aim * 4, late_share: 0.5, ..safe() };
+        let mut bench = Bench::new(Settings { decay, ..settings(vec![class]) }, vec![]);
+        bench.accept(1, 0, 1, None);
+        bench.now = bench.now + aim * 5 / 2;
+        bench.accept(2, 0, 1, None);
+        bench.now = bench.now + aim / 15;
+        bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1)])));
+        assert_eq!(bench.routes()[0].0, first, "{decay:?}");
+    }
+}
+
 #[test]
 fn where_routes_are_apart_a_wait_holds_for_its_route_only() {
     let base = settings(vec![safe()]);
