--- a/src/bin/gullcart/calls.rs
+++ b/src/bin/gullcart/calls.rs
@@ -20,7 +20,9 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tracing::info;
 
+use crate::seldom::Seldom;
 use crate::wire::{Descriptor, Wire, WireStream};
 
 /// Idle connections are closed after this part of the endpoint's own limit, so that no call meets its closing.
@@ -117,6 +119,15 @@
     }
 }
 
+/// Connections used since the last look, for the log.
+#[derive(Debug, Default)]
+pub struct Used {
+    pub opened: u32,
+    pub kept: u32,
+    /// Calls reset on new connections and on kept ones.
+    pub reset: (u32, u32),
+}
+
 /// The connections to endpoints. Those that are idle are kept by endpoint, the newest last: an address may belong
 /// to another endpoint by now, which must not be given what is left of the one before.
 pub struct Pool {
@@ -128,6 +139,8 @@
     keep: Duration,
     most: usize,
     most_idle: usize,
+    used: RefCell<Used>,
+    resets: RefCell<Seldom>,
 }
 
 impl Pool {
@@ -141,6 +154,24 @@
             keep: conn_idle.mul_f64(IDLE_PART),
             most,
             most_idle,
+            used: RefCell::default(),
+            resets: RefCell::default(),
+        }
+    }
+
+    pub fn take_used(&self) -> Used {
+        self.used.take()
+    }
+
+    /// Notes a call that was reset: on a connection that had been idle for so long, or on a new one.
+    fn note_reset(&self, call: &Call, idle: Option<Duration>, latency: Duration) {
+        let mut used = self.used.borrow_mut();
+        match idle {
+            Some(_) => used.reset.1 += 1,
+            None => used.reset.0 += 1,
+        }
+        if let Some(more) = self.resets.borrow_mut().due() {
+            info!(endpoint = call.endpoint.0, ?idle, ?latency, more, "a call was reset");
         }
     }
 
@@ -258,6 +289,11 @@
                 },
             };
             let Ok(request) = request(&call) else { return ended(Outcome::Moot) };
+            let idle = (!fresh).then(|| connection.idle_since.elapsed());
+            {
+                let mut used = self.used.borrow_mut();
+                *if fresh { &mut used.opened } else { &mut used.kept } += 1;
+            }
             let wire = connection.wire.clone();
             wire.begin();
             sent.set(true);
@@ -285,7 +321,10 @@
                 _ if wire.status() == Some(200) && count == 1 => Outcome::Ok,
                 End::Broken if wire.is_answered() => Outcome::Spoilt,
                 // Some of it was written, and how much of that arrived cannot be told: it may have run.
-                End::Broken => Outcome::Reset,
+                End::Broken => {
+                    self.note_reset(&call, idle, start.elapsed());
+                    Outcome::Reset
+                }
                 End::TimedOut => Outcome::Timeout,
                 End::Stopped(_) => Outcome::Cancelled,
             };
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -723,7 +723,8 @@
         let Counts { taken, busy, delivered, failed, returned, calls, latest } =
             std::mem::take(&mut self.counts);
         let (held, out) = (self.journal.image.held.len(), self.out.len());
-        info!(taken, busy, delivered, failed, returned, calls, held, out, ?latest, "load");
+        let connections = self.pool.take_used();
+        info!(taken, busy, delivered, failed, returned, calls, held, out, ?latest, ?connections, "load");
         if let Some((to, waiting, routes)) = self.courier.longest_queue(self.clock.now()) {
             info!(destination = to.0, waiting, ?routes, "the longest queue");
         }
