Prefer the route of the least fee, and wait for it while all goes out in time

A route's fee was never read: routes apart were taken in the order of their ids, which costs the mean of all halls.

So a message waits only while the cheaper route can take all that is queued within a quarter of the aim.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,6 +72,8 @@
 const QUOTA_PART: f64 = 1.25;
 /// Weight of what waiting for one more aim would lose, against the worth itself.
 const WAITING_LOSS: f64 = 2.0;
+/// A message waits for a cheaper route until this part of its aim has passed: the rest is for the call.
+const FEE_PATIENCE_OF_AIM: f64 = 0.25;
 /// Calls out to a destination in a spell, as a part of the free slots; one at least.
 const TRIAL_SLOTS: f64 = 0.25;
 /// Share of the messages that may be held above which the least worth are shed.
@@ -658,13 +660,38 @@
     /// The best message of a destination that may be sent now, by which route and endpoint, and its worth for
     /// the time that a slot is taken; if none, `next` tells when that may be.
     fn candidate(&mut self, now: Time, to: DestinationId, next: &mut Option<Time>) -> Option<Candidate> {
-        for route in self.routes.range(routes_of(to)).map(|(id, _)| *id).collect::<Vec<_>>() {
+        let mut routes: Vec<(f64, RouteId)> =
+            self.routes.range(routes_of(to)).map(|(id, _)| (self.fee(*id), *id)).collect();
+        routes.sort_by(|a, b| a.0.total_cmp(&b.0));
+        // The cheapest route that is sound but not free now: its fee, when it is free, messages a second.
+        let mut cheaper: Option<(f64, Time, f64)> = None;
+        for (fee, route) in routes {
             let free = self.route_free_at(now, route);
             if free.is_none_or(|at| at > now) {
                 earliest(next, free);
+                let pace = self.pace(now, route);
+                let ready =
+                    |e: &EndpointId| self.addresses.get(e).is_some_and(|a| a.entry.mode == Mode::Ready);
+                let sound =
+                    |r: &&Route| r.spell.is_none() && r.returned.is_none() && r.endpoints.iter().any(ready);
+                let sound = self.routes.get(&route).filter(sound);
+                if let (None, Some(at), Some(sound)) = (cheaper, free, sound) {
+                    cheaper = Some((fee, at, pace * sound.batch as f64));
+                }
                 continue;
             }
             let Some((message, worth)) = self.pick(now, route, next) else { continue };
+            if let Some((_, at, pace)) = cheaper.filter(|(least, ..)| *least < fee) {
+                // Only if all that waits can go that way in time: else what this route could take is lost.
+                let queue = self.queues.get(&to).map_or(0, Vec::len) as f64;
+                let served =
+                    at + Duration::from_secs_f64((queue / pace.max(0.001)).min(cold_s(&self.settings)));
+                let m = self.messages.get(&message);
+                if m.is_some_and(|m| served < m.born + self.class(m).aim.mul_f64(FEE_PATIENCE_OF_AIM)) {
+                    earliest(next, Some(at));
+                    continue;
+                }
+            }
             let Some(endpoint) = self.address_for(now, route, message) else { continue };
             let takes = self.routes[&route].latency.mean.max(0.001);
             return Some((route, endpoint, message, worth / takes));
@@ -672,6 +699,13 @@
         None
     }
 
+    /// What a message by this route costs; only routes apart have a fee.
+    fn fee(&self, id: RouteId) -> f64 {
+        let zone =
+            id.1.and_then(|endpoint| self.addresses.get(&endpoint)).map(|a| usize::from(a.entry.zone.0));
+        zone.and_then(|zone| self.settings.zone_fees.get(zone)).copied().unwrap_or(0.0)
+    }
+
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
     fn pick(&self, now: Time, route: RouteId, next: &mut Option<Time>) -> Option<(MessageId, f64)> {
         let trial = self.routes.get(&route).is_some_and(|r| r.spell.is_some());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -187,6 +187,8 @@
     pub weights: WeightSource,
     /// How worth falls after the aim.
     pub decay: Decay,
+    /// What a message costs that a route of its own in this location takes on, by [`ZoneId`]; none where absent.
+    pub zone_fees: Vec<f64>,
     /// Calls that may be out at once.
     pub call_slots: usize,
     /// Messages that may be held; further ones are turned away before the courier.
@@ -218,6 +220,7 @@
             kinds: vec![Kind { batch: 1, own_limits: false }],
             weights: WeightSource::Nominal,
             decay: Decay::Line,
+            zone_fees: Vec::new(),
             call_slots: 16,
             most_held: 400,
             send_cap: 8,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -166,6 +166,11 @@
             base.decay,
             &[("line", Decay::Line), ("halves", Decay::Halves)],
         )?,
+        zone_fees: lines
+            .words("FamilyInfo.FeeByZone")
+            .into_iter()
+            .map(|fee| parse("FamilyInfo.FeeByZone", fee))
+            .collect::<Result<_, _>>()?,
         call_slots: lines.or("FamilyInfo.CallsOut", base.call_slots)?,
         most_held: lines.or("Permissions.MostHeld", base.most_held)?,
         send_cap: lines.or("Permissions.SendCap", base.send_cap)?,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -395,6 +395,27 @@
     }
 }
 
+/// The route of the least fee is taken, and waited for while all that waits can still go that way on time; a
+/// clump that is too much for it goes by the costly one too.
+#[test]
+fn the_cheapest_route_is_preferred_as_long_as_it_serves_in_time() {
+    let base = settings(vec![safe()]);
+    let kinds = vec![Kind { batch: 1, own_limits: true }];
+    let costly = Endpoint { zone: ZoneId(2), weight: 5.0, ..endpoint(7, 1) };
+    let cheap = Endpoint { zone: ZoneId(1), weight: 5.0, ..endpoint(8, 1) };
+    let zone_fees = vec![0.0, 0.03, 0.06];
+    let mut bench = Bench::new(Settings { kinds, zone_fees, ..base }, vec![costly, cheap]);
+    bench.accept(1, 0, 1, None);
+    assert_eq!(bench.routes()[0].1, 8);
+    bench.finish(1, 8, Outcome::Ok, ms(20));
+    bench.accept(2, 0, 1, None);
+    let next = bench.until_action(ms(700));
+    assert!(matches!(next[..], [Action::Route { endpoint: EndpointId(8), .. }]), "{next:?}");
+    bench.finish(2, 8, Outcome::Ok, ms(20));
+    (3..40).for_each(|id| bench.accept(id, 0, 1, None));
+    assert!(bench.routes().iter().any(|sent| sent.1 == 7));
+}
+
 #[test]
 fn where_routes_are_apart_a_wait_holds_for_its_route_only() {
     let base = settings(vec![safe()]);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -5,6 +5,7 @@
 
 const LINES: &str = "Balancers=3
 FamilyInfo.CallsOut=28
+FamilyInfo.FeeByZone=0,0.03
 FamilyInfo.KindBatch=1,4
 FamilyInfo.OwnLimits=false,true
 Lanes.count=1
@@ -29,7 +30,7 @@
 fn lines_and_json_read_alike() {
     let nested = json!({
         "Balancers": 3,
-        "FamilyInfo": {"CallsOut": 28, "KindBatch": [1, 4], "OwnLimits": [false, true]},
+        "FamilyInfo": {"CallsOut": 28, "FeeByZone": [0.0, 0.03], "KindBatch": [1, 4], "OwnLimits": [false, true]},
         "Lanes": [{
             "Aim": 3_000_000_000_u64, "Effect": "idempotency_key", "Group": "all", "Name": "pay-notice",
             "OneAtATime": true, "RepeatWindow": 1e10,
@@ -46,6 +47,7 @@
     assert_eq!(format!("{lines:?}"), format!("{json:?}"));
     assert_eq!(json.settings.most_held, 519);
     assert_eq!(json.class_names, ["pay-notice"]);
+    assert_eq!(json.settings.zone_fees, [0.0, 0.03]);
     assert_eq!(json.tenant_names, ["north"]);
     assert!(json.settings.kinds[1].own_limits);
 }
