Hold unsafe messages back from a route that loses more of its calls than usual

While a partner fails most of its calls quickly and serves the rest, no spell opens, as each success clears the evidence; licence payments went on into it and were lost for good, though what can be repeated shows when it is over. They wait now until the losses fade, or for the last aim before their deadline.

--- a/src/books.rs
+++ b/src/books.rs
@@ -123,6 +123,9 @@
     pub demand: Decaying,
     /// Calls served over about the time that a cold return lasts.
     pub served: Decaying,
+    /// Calls of late that were served, and that may have run without being so.
+    pub kept: Decaying,
+    pub lost: Decaying,
     /// Calls served a second, as of the last success and without it; held up through an outage and its return.
     pub share: f64,
     pub told_wait: Time,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,6 +72,14 @@
 const QUOTA_PART: f64 = 1.25;
 /// Weight of what waiting for one more aim would lose, against the worth itself.
 const WAITING_LOSS: f64 = 2.0;
+/// An unsafe message waits where this share more than usual of the calls of late may have run without being
+/// served: so often would its one try be lost, while those that can be repeated show when that is over.
+const UNSAFE_LOSS: f64 = 0.15;
+/// One loss alone holds unsafe messages up for a moment only: it counts against this many served calls ...
+const UNSAFE_LOSS_PRIOR: f64 = 1.0;
+/// ... and fades over this many fall windows. The last try goes this part of the aim before the deadline.
+const UNSAFE_LOSS_FALLS: f64 = 2.0;
+const UNSAFE_LAST_AIM: f64 = 1.0;
 /// A message waits for a cheaper route until this part of its aim has passed: the rest is for the call.
 const FEE_PATIENCE_OF_AIM: f64 = 0.25;
 /// Calls out to a destination in a spell, as a part of the free slots; one at least.
@@ -485,6 +493,12 @@
         let alone = call.sent >= route.last_answer;
         let all_sick = alone && !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
         let blip = settings.rules.fall.mul_f64(BLIP_OF_FALL);
+        let span = settings.rules.fall.as_secs_f64() * UNSAFE_LOSS_FALLS;
+        match finished.outcome {
+            Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot | Outcome::Spent => {}
+            Outcome::Ok => drop(route.kept.rate(now, span, 1.0)),
+            _ => drop(route.lost.rate(now, span, 1.0)),
+        }
         match finished.outcome {
             Outcome::Ok => {
                 self.usual.learn(finished.latency, LATENCY_GAIN);
@@ -707,8 +721,11 @@
     }
 
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
-    fn pick(&self, now: Time, route: RouteId, next: &mut Option<Time>) -> Option<(MessageId, f64)> {
+    fn pick(&mut self, now: Time, route: RouteId, next: &mut Option<Time>) -> Option<(MessageId, f64)> {
         let trial = self.routes.get(&route).is_some_and(|r| r.spell.is_some());
+        // What is lost on all routes alike is no reason to wait.
+        let bearable = UNSAFE_LOSS + self.reaping.other;
+        let loses = self.routes.get_mut(&route).is_some_and(|r| r.share_lost(now, &self.settings) > bearable);
         let mut best: Option<(bool, f64, MessageId)> = None;
         for message in self.queues.get(&route.0).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
             let at = self.sendable_at(now, message);
@@ -716,6 +733,12 @@
                 earliest(next, at);
                 continue;
             }
+            let last_try = message.taken.deadline - self.class(message).aim.mul_f64(UNSAFE_LAST_AIM);
+            if loses && !self.repeatable(message) && now < last_try {
+                let fading = now + self.settings.rules.fall.mul_f64(UNSAFE_LOSS_FALLS * UNSAFE_LOSS);
+                earliest(next, Some(fading.min(last_try)));
+                continue;
+            }
             let fit = !trial || self.repeatable(message);
             let worth = self.worth(now, message);
             if best.is_none_or(|(best_fit, most, _)| (fit, worth) > (best_fit, most)) {
@@ -1019,6 +1042,13 @@
         self.demand.rate(now, cold_s(settings), 0.0) * cold_s(settings) < LIGHT
     }
 
+    /// The share of the calls of late that may have run without being served.
+    fn share_lost(&mut self, now: Time, settings: &Settings) -> f64 {
+        let span = settings.rules.fall.as_secs_f64() * UNSAFE_LOSS_FALLS;
+        let (kept, lost) = (self.kept.rate(now, span, 0.0) * span, self.lost.rate(now, span, 0.0) * span);
+        lost / (lost + kept + UNSAFE_LOSS_PRIOR)
+    }
+
     /// This courier's part of what all may send together, a second, so that a destination survives a return;
     /// `warmth` runs from 0 to 1 over a cold one. It goes by what was served here before, which adds up to
     /// what the destination can do however many want it (own demand does not: hunted day h1c8921, thirty
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -416,6 +416,39 @@
     assert!(bench.routes().iter().any(|sent| sent.1 == 7));
 }
 
+/// Where many calls fail, though some are served, an unsafe message waits until they do no more, or for its last
+/// moment; what can be repeated goes on meanwhile.
+#[test]
+fn an_unsafe_message_waits_while_its_route_loses_calls() {
+    for recovers in [true, false] {
+        let mut bench = Bench::new(settings(vec![safe(), unsafe_class()]), vec![endpoint(7, 1)]);
+        let deadline = bench.settings.classes[1].deadline;
+        let (mut taken, mut waited, mut others) = (None, None, 0);
+        for step in 0..400 {
+            if step == 20 {
+                bench.accept(1, 1, 1, None);
+                taken = Some(bench.now);
+            }
+            bench.accept(step + 2, 0, 1, None);
+            for (id, to, _) in bench.routes() {
+                if id == 1 {
+                    waited = waited.or(taken.map(|taken| bench.now - taken));
+                    continue;
+                }
+                others += u32::from(waited.is_none());
+                let fails = step % 2 == 0 && (step < 20 || !recovers);
+                bench.finish(id, to, if fails { Outcome::Error } else { Outcome::Ok }, ms(20));
+                bench.tell(Event::ClientGone(MessageId(id)));
+            }
+            bench.now = bench.now + ms(100);
+        }
+        let waited = waited.expect("it is sent in the end");
+        assert!(others > 25, "{others} others went first");
+        assert!(waited > ms(300) && waited < deadline, "{waited:?}");
+        assert_eq!(waited < deadline / 2, recovers, "{waited:?}");
+    }
+}
+
 #[test]
 fn where_routes_are_apart_a_wait_holds_for_its_route_only() {
     let base = settings(vec![safe()]);
