--- a/src/choice.rs
+++ b/src/choice.rs
@@ -75,9 +75,9 @@
 /// An unsafe message waits where this share more than usual of the calls of late may have run without being
 /// served: so often would its one try be lost, while those that can be repeated show when that is over.
 const UNSAFE_LOSS: f64 = 0.15;
-/// One loss alone holds unsafe messages up for a moment only: it counts against this many served calls ...
-const UNSAFE_LOSS_PRIOR: f64 = 1.0;
-/// ... and fades over this many fall windows. The last try goes this part of the aim before the deadline.
+/// ... where losses count against so many served calls more than there were, ...
+const UNSAFE_LOSS_PRIOR: f64 = 2.0;
+/// ... and fade over so many fall windows. The last try goes this part of the aim before the deadline.
 const UNSAFE_LOSS_FALLS: f64 = 2.0;
 const UNSAFE_LAST_AIM: f64 = 1.0;
 /// A message waits for a cheaper route until this part of its aim has passed: the rest is for the call.
