Learn the risk of idle connections by step of idle time

One shortest idle time that lost a call was kept, which a stray reset pulls down, and nothing under a tenth of the aim counted as idle: unsafe messages went out on such connections and were lost.

--- a/src/books.rs
+++ b/src/books.rs
@@ -143,10 +143,12 @@
 /// one courier meets each partner too seldom to learn it there.
 #[derive(Default)]
 pub struct Reaping {
-    pub risk: f64,
-    /// Risk of losing a call on a new connection: what is lost there is not for idleness.
+    /// Share of the calls lost, by the time for which their connection had been idle.
+    pub risks: [f64; REAPED_STEPS],
+    /// Risk of losing a call on a connection that was not idle: what is lost there has other causes.
     pub other: f64,
-    /// Shortest idle time that lost a call.
-    pub idle: Duration,
     pub next_check: Time,
 }
+
+/// Idle times that are told apart, each twice as long as the one before.
+pub const REAPED_STEPS: usize = 10;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -94,9 +94,8 @@
 /// ... beyond so many times the risk of a call on a new connection, which chance moves too.
 const REAPED_OTHER: f64 = 2.0;
 /// A connection in use until this part of the shortest aim ago was not idle: what it loses has other causes.
-const REAPED_LEAST_AIM: f64 = 0.1;
-/// Connections idle for this part of the shortest time that lost a call are trusted.
-const REAPED_MARGIN: f64 = 0.7;
+/// From there on each doubling of the idle time has a risk of its own.
+const REAPED_LEAST_AIM: f64 = 1.0 / 64.0;
 /// While idle connections are closed, one is tried so many of the shortest aim after the last loss.
 const REAPED_CHECK_AIMS: f64 = 4.0;
 
@@ -415,8 +414,9 @@
             route.out.remove(&id);
         }
         let lost = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        let reaped =
-            lost && self.reaping.risk > 0.0 && call.idle.is_some_and(|idle| idle >= self.reaping.idle);
+        let risk =
+            call.idle.and_then(|idle| self.idle_step(idle)).map_or(0.0, |step| self.reaping.risks[step]);
+        let reaped = lost && risk > REAPED_RISKS.0 + self.reaping.other * REAPED_OTHER;
         if !(lost && call.stalled) {
             self.learn_of_idle(now, call.idle, lost, finished.outcome == Outcome::Ok);
         }
@@ -446,29 +446,25 @@
     /// A loss on an idle connection speaks for connections that are dropped unseen, an answer on one that was
     /// idle as long speaks against it.
     fn learn_of_idle(&mut self, now: Time, idle: Option<Duration>, lost: bool, answered: bool) {
-        let Some(idle) =
-            idle.filter(|idle| idle.as_secs_f64() > shortest_aim(&self.settings) * REAPED_LEAST_AIM)
-        else {
-            if lost || answered {
-                self.reaping.other += REAPED_GAIN * (f64::from(u8::from(lost)) - self.reaping.other);
-            }
+        if !lost && !answered {
             return;
-        };
+        }
+        let step = idle.and_then(|idle| self.idle_step(idle));
         let reaping = &mut self.reaping;
-        if lost {
-            reaping.idle = if reaping.risk > 0.0 { reaping.idle.min(idle) } else { idle };
-            reaping.risk += REAPED_GAIN * (1.0 - reaping.risk);
-            reaping.next_check =
-                now + Duration::from_secs_f64(shortest_aim(&self.settings) * REAPED_CHECK_AIMS);
-        } else if answered && idle >= reaping.idle {
-            reaping.risk -= REAPED_GAIN * reaping.risk;
-            reaping.next_check = now;
-            if reaping.risk < REAPED_RISKS.0 {
-                reaping.risk = 0.0;
-            }
+        let risk = step.map_or(&mut reaping.other, |step| &mut reaping.risks[step]);
+        *risk += REAPED_GAIN * (f64::from(u8::from(lost)) - *risk);
+        if step.is_some() {
+            let pause = if lost { shortest_aim(&self.settings) * REAPED_CHECK_AIMS } else { 0.0 };
+            reaping.next_check = now + Duration::from_secs_f64(pause);
         }
     }
 
+    /// Which of the risks an idle time belongs to; none where it is too short to count.
+    fn idle_step(&self, idle: Duration) -> Option<usize> {
+        let doublings = (idle.as_secs_f64() / (shortest_aim(&self.settings) * REAPED_LEAST_AIM)).log2();
+        (doublings >= 0.0).then(|| (doublings as usize).min(REAPED_STEPS - 1))
+    }
+
     // ---- Health and pace ----
 
     /// Health and pace of a route, from the outcome of one call.
@@ -861,12 +857,14 @@
         let alone = address.calls_out == 0;
         let repeatable = self.messages.get(&first).is_some_and(|m| self.repeatable(m));
         let bearable = if repeatable { REAPED_RISKS.1 } else { REAPED_RISKS.0 };
+        let from = self.idle_step(idle).unwrap_or(if alone { REAPED_STEPS } else { 0 });
         let reaping = &mut self.reaping;
-        let short = alone && idle < reaping.idle.mul_f64(REAPED_MARGIN);
-        if reaping.risk < bearable + reaping.other * REAPED_OTHER || short {
+        let risks = &reaping.risks[from..];
+        let risk = if alone { risks.first().copied() } else { risks.iter().copied().reduce(f64::max) };
+        if risk.unwrap_or(0.0) < bearable + reaping.other * REAPED_OTHER {
             return alone.then_some(idle);
         }
-        if repeatable && alone && idle >= reaping.idle && now >= reaping.next_check {
+        if repeatable && alone && now >= reaping.next_check {
             reaping.next_check =
                 now + Duration::from_secs_f64(shortest_aim(&self.settings) * REAPED_CHECK_AIMS);
             return Some(idle);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -506,9 +506,9 @@
     assert!(bench.decide().iter().any(refused));
 }
 
-/// Sends a message to each of `count` destinations in turn, each with a connection idle for two seconds; calls
-/// on these end so, those on new ones well. Returns how often idle connections were closed before use.
-fn closes_after(outcome: Outcome, count: u32) -> usize {
+/// Sends a message to each of `count` destinations in turn, each with a connection idle for this time and one
+/// round; calls on these end so, those on new ones well. Returns how often idle connections were closed before use.
+fn closes_after(outcome: Outcome, count: u32, idle: Duration) -> usize {
     let all = (1..=count).map(|d| endpoint(d, d as u16)).collect();
     let mut bench = Bench::new(settings(vec![safe()]), all);
     let mut id = 0;
@@ -523,15 +523,17 @@
         closes
     };
     (1..=count).for_each(|to| assert_eq!(call(&mut bench, to, Outcome::Ok), 0));
-    bench.now = bench.now + Duration::from_secs(2);
+    bench.now = bench.now + idle;
     (1..=count).map(|to| call(&mut bench, to, outcome)).sum()
 }
 
 /// Idle connections dropped unseen: the next call on one is lost.
 #[test]
 fn idle_connections_are_closed_before_use_once_calls_on_them_get_lost() {
-    assert_eq!(closes_after(Outcome::Ok, 12), 0);
-    assert!(closes_after(Outcome::Reset, 12) >= 6);
+    for idle in [Duration::from_secs(2), ms(20)] {
+        assert_eq!(closes_after(Outcome::Ok, 12, idle), 0);
+        assert!(closes_after(Outcome::Reset, 12, idle) >= 6, "after {idle:?}");
+    }
 }
 
 /// One lost answer is not an outage: with a share of the answers lost, messages must not wait for trials.
