--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::warn;
 
-use crate::driver::Input;
+use crate::driver::{Input, Phase};
 use crate::journal::Taken;
 use crate::seldom::Seldom;
 
@@ -49,7 +49,7 @@
 const ANSWERS: usize = 4 << 10;
 /// Requests of one connection that are served before the others get their turn.
 const TURN: usize = 16;
-/// While the courier ends, a new connection may take this long to bring its request.
+/// While the courier ends or is emptied, a new connection may take this long to bring its request.
 const LAST_REQUEST: Duration = Duration::from_millis(400);
 
 /// A message that a client hands in.
@@ -101,11 +101,11 @@
     pub long_requests: usize,
 }
 
-/// Accepts connections until the task is dropped. `closing` turns true when the courier is about to end.
+/// Accepts connections until the task is dropped.
 pub async fn serve(
     listener: TcpListener,
     driver: UnboundedSender<Input>,
-    closing: watch::Receiver<bool>,
+    phase: watch::Receiver<Phase>,
     limits: ClientLimits,
 ) {
     let places = Rc::new(Places::new(limits));
@@ -114,10 +114,10 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let place = places.clone().enter();
-                let (driver, closing) = (driver.clone(), closing.clone());
+                let (driver, phase) = (driver.clone(), phase.clone());
                 tokio::task::spawn_local(async move {
                     let client =
-                        Client { stream, driver, closing, place, buffer: BytesMut::new(), out: Vec::new() };
+                        Client { stream, driver, phase, place, buffer: BytesMut::new(), out: Vec::new() };
                     // A connection that breaks is its client's affair: what was taken on stays so.
                     let _ = client.run().await;
                 });
@@ -286,7 +286,7 @@
     // Before the place: the descriptor is closed by the time that the place is free.
     stream: TcpStream,
     driver: UnboundedSender<Input>,
-    closing: watch::Receiver<bool>,
+    phase: watch::Receiver<Phase>,
     buffer: BytesMut,
     out: Vec<u8>,
     place: Place,
@@ -299,6 +299,8 @@
     End,
     /// The request did not become whole in its time.
     Late,
+    /// The courier stands otherwise to its clients now.
+    Turned,
 }
 
 impl Client {
@@ -308,13 +310,11 @@
         let mut long: Option<SemaphorePermit> = None;
         // When what is due next must have come: the first request, the rest of one, or another one.
         let mut due = Instant::now() + SILENT;
-        let mut fresh = *self.closing.borrow();
         let mut served = 0;
         loop {
             match decode(&mut self.buffer) {
                 Ok(Some(words)) => {
                     self.place.set(Doing::Busy);
-                    fresh = false;
                     if self.serve(&words).await?.is_none() {
                         return Ok(());
                     }
@@ -345,23 +345,23 @@
                 }
             }
             let between = self.buffer.is_empty();
-            match self.read(fresh, due).await? {
+            match self.read(served == 0, due).await? {
                 Come::More if between => {
                     due = Instant::now() + HALF;
                     self.place.set(Doing::Half);
                 }
-                Come::More => {}
+                Come::More | Come::Turned => {}
                 Come::End => return Ok(()),
                 Come::Late => return self.refuse("the request did not come to its end").await,
             }
         }
     }
 
-    /// Reads more of a request. When the courier ends, a connection is closed between two requests, but never
-    /// with a part of one read.
+    /// Reads more of a request. When the courier ends or is emptied, a connection is closed between two requests,
+    /// but never with a part of one read, and a new one may still bring its first.
     async fn read(&mut self, fresh: bool, due: Instant) -> io::Result<Come> {
         let between = self.buffer.is_empty();
-        if between && *self.closing.borrow() {
+        if between && *self.phase.borrow_and_update() != Phase::Serving {
             if fresh {
                 let ready = timeout(LAST_REQUEST, self.stream.readable()).await;
                 return if ready.is_ok() { self.read_now() } else { Ok(Come::End) };
@@ -380,7 +380,8 @@
                 () = tokio::time::sleep_until(due) => {
                     return if between { self.read_now() } else { Ok(Come::Late) };
                 }
-                _ = self.closing.changed(), if between => return self.read_now(),
+                // Looked at anew by the caller: what has come meanwhile is read first.
+                Ok(()) = self.phase.changed(), if between => return Ok(Come::Turned),
             }
             self.buffer.reserve(READ);
             match self.stream.try_read_buf(&mut self.buffer) {
@@ -422,7 +423,8 @@
         let command = words.first().map(|word| word.to_ascii_uppercase());
         let answer = match command.as_deref() {
             Some(b"PING") => {
-                self.out.extend_from_slice(b"+PONG\r\n");
+                let lame = *self.phase.borrow() == Phase::LameDuck;
+                self.out.extend_from_slice(if lame { b"-ERR being emptied\r\n" } else { b"+PONG\r\n" });
                 return self.flush_long().await.map(Some);
             }
             Some(b"ENQUEUE") => match Enqueue::read(words) {
--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -68,6 +68,8 @@
     last: u32,
     numbers: HashMap<String, EndpointId>,
     entries: BTreeMap<EndpointId, Entry>,
+    /// Endpoints that operators leave out: they keep their numbers, listed or not.
+    detached: BTreeSet<EndpointId>,
 }
 
 struct Entry {
@@ -88,6 +90,7 @@
             last: 0,
             numbers: HashMap::new(),
             entries: BTreeMap::new(),
+            detached: BTreeSet::new(),
         }
     }
 
@@ -118,7 +121,18 @@
 
     /// Whether an endpoint may be given new work.
     pub fn is_open(&self, id: EndpointId) -> bool {
-        self.entries.get(&id).is_some_and(|entry| entry.mode == Mode::Ready)
+        self.entries.get(&id).is_some_and(|entry| entry.mode == Mode::Ready) && !self.detached.contains(&id)
+    }
+
+    /// Leaves an endpoint out, or uses it again, and gives its number. It need not be listed (any more).
+    pub fn detach(&mut self, uid: &str, out: bool) -> EndpointId {
+        let id = self.number_of(uid);
+        if out {
+            self.detached.insert(id);
+        } else {
+            self.detached.remove(&id);
+        }
+        id
     }
 
     pub fn is_gone(&self, id: EndpointId) -> bool {
@@ -128,7 +142,7 @@
     /// Forgets the endpoints that are gone, but those that are still needed.
     pub fn forget_gone(&mut self, needed: impl Fn(EndpointId) -> bool) {
         self.entries.retain(|id, entry| entry.mode != Mode::Gone || needed(*id));
-        self.numbers.retain(|_, id| self.entries.contains_key(id));
+        self.numbers.retain(|_, id| self.entries.contains_key(id) || self.detached.contains(id));
     }
 
     /// Takes news of the list in and words them for the module.
@@ -145,11 +159,15 @@
         }
     }
 
-    fn entry(&mut self, target: &Target) -> Endpoint {
-        let id = *self.numbers.entry(target.uid.clone()).or_insert_with(|| {
+    fn number_of(&mut self, uid: &str) -> EndpointId {
+        *self.numbers.entry(uid.to_owned()).or_insert_with(|| {
             self.last += 1;
             EndpointId(self.last)
-        });
+        })
+    }
+
+    fn entry(&mut self, target: &Target) -> Endpoint {
+        let id = self.number_of(&target.uid);
         let address = target.endpoint.parse().ok();
         if address.is_none() {
             warn!(uid = target.uid, endpoint = target.endpoint, "an endpoint's address cannot be read");
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -11,6 +11,7 @@
 use tokio::time::{interval, sleep_until, Instant};
 use tracing::{error, info, warn};
 
+use crate::admin::{Done, Operation};
 use crate::calls::{Call, CallEnded, Ended, Load, Pool, Stop};
 use crate::clients::{Answer, Enqueue};
 use crate::discovery::{Directory, Notice, Update};
@@ -49,15 +50,27 @@
     Ended(EndpointId, Vec<MessageId>, CallEnded),
     /// The platform has these notices.
     Heard(Vec<MessageId>),
+    /// A call of the operators, and where its answer goes.
+    Operate(Operation, oneshot::Sender<Done>),
     Terminate,
 }
 
+/// How the courier stands to its clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Serving,
+    /// Operators are emptying it: `PING` is answered no, connections end between two requests.
+    LameDuck,
+    /// The process is about to end: connections end between two requests.
+    Closing,
+}
+
 /// Where the other parts are reached.
 pub struct Ends {
     /// What happens to this part, also by its own doing.
     pub inputs: UnboundedSender<Input>,
     pub notices: UnboundedSender<Notice>,
-    pub closing: watch::Sender<bool>,
+    pub phase: watch::Sender<Phase>,
 }
 
 /// The module's clock, and wall time for what crosses processes.
@@ -156,7 +169,7 @@
     out: HashMap<MessageId, Out>,
     inputs: UnboundedSender<Input>,
     notices: UnboundedSender<Notice>,
-    closing: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
     ends: Option<(Instant, Instant)>,
     wake: Option<(Instant, u64)>,
     actions: Vec<Action>,
@@ -175,7 +188,7 @@
         known: Update,
         journal: Journal,
         endpoint_sockets: usize,
-        Ends { inputs, notices, closing }: Ends,
+        Ends { inputs, notices, phase }: Ends,
     ) -> Self {
         parsed.settings.answers_take_time = true;
         let directory = Directory::new(&parsed);
@@ -203,7 +216,7 @@
             out: HashMap::new(),
             inputs,
             notices,
-            closing,
+            phase,
             ends: None,
             wake: None,
             actions: Vec::new(),
@@ -238,6 +251,9 @@
             let listing = self.directory.apply(&Update { rev: image.rev, all: true, targets });
             self.courier.handle(now, Event::Listed(listing));
         }
+        for uid in self.journal.image.detached.clone() {
+            self.detach(now, &uid, true);
+        }
         for note in self.journal.image.outages.clone() {
             let endpoint = note.uid.as_ref().and_then(|uid| self.directory.number(uid));
             if note.uid.is_some() && endpoint.is_none() {
@@ -393,15 +409,60 @@
                     self.courier.handle(now, Event::Heard(message));
                 }
             }
+            Input::Operate(operation, done) => {
+                let _ = done.send(self.operate(now, &operation));
+            }
             Input::Terminate if self.ends.is_some() => {}
             Input::Terminate => {
                 let begun = Instant::now();
                 info!(held = self.journal.image.held.len(), out = self.out.len(), "told to end");
                 self.ends = Some((begun + CLOSING_LEAST, begun + CLOSING));
                 self.courier.handle(now, Event::Closing(now + CLOSING));
-                self.closing.send_replace(true);
+                self.phase.send_replace(Phase::Closing);
+            }
+        }
+    }
+
+    /// Does what operators ask. The yes is true from then on, also for the next process.
+    fn operate(&mut self, now: Time, operation: &Operation) -> Done {
+        match operation {
+            Operation::Detach(uid) | Operation::Attach(uid) => {
+                let out = matches!(operation, Operation::Detach(_));
+                let was_out = self.journal.image.detached.contains(uid);
+                if !was_out && !self.journal.image.targets.contains_key(uid) {
+                    return Done::Unknown;
+                }
+                if out == was_out {
+                    return Done::Yes;
+                }
+                if let Err(error) = self.journal.detached(uid, out) {
+                    self.note(Err(error));
+                    return Done::Failed;
+                }
+                info!(uid, out, "operators have changed what is left out");
+                self.detach(now, uid, out);
+            }
+            Operation::LameDuck(on) => {
+                info!(on, held = self.journal.image.held.len(), "operators have told to empty, or not to");
+                self.courier.handle(now, Event::LameDuck(*on));
+                let phase = if *on { Phase::LameDuck } else { Phase::Serving };
+                self.phase.send_if_modified(|known| {
+                    let other = *known != Phase::Closing && *known != phase;
+                    if other {
+                        *known = phase;
+                    }
+                    other
+                });
             }
         }
+        Done::Yes
+    }
+
+    fn detach(&mut self, now: Time, uid: &str, out: bool) {
+        let endpoint = self.directory.detach(uid, out);
+        self.courier.handle(now, if out { Event::Detach(endpoint) } else { Event::Attach(endpoint) });
+        self.withdraw(|other, _| out && other == endpoint);
+        self.forget_gone();
     }
 
     fn enqueue(&mut self, now: Time, enqueue: Enqueue) -> Answer {
@@ -424,7 +485,7 @@
             return Answer::Error("k is missing");
         }
         let most = class.deadline;
-        if self.journal.image.held.len() >= self.most_held {
+        if self.journal.image.held.len() >= self.most_held || !self.courier.takes_on(now) {
             self.counts.busy += 1;
             return Answer::Busy(Some(self.courier.come_back(now, destination)));
         }
--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -126,6 +126,8 @@
     Destinations(Vec<u16>),
     /// Whose message it is.
     Tenant(u32, String),
+    /// An endpoint that operators leave out from now on, or use again.
+    Detached(String, bool),
 }
 
 /// What the records add up to.
@@ -139,6 +141,8 @@
     /// One that has no endpoints just now may get others.
     pub destinations: BTreeSet<u16>,
     pub outages: Vec<OutageNote>,
+    /// Endpoints that operators leave out, by their uids, listed or not.
+    pub detached: BTreeSet<String>,
 }
 
 impl Image {
@@ -194,6 +198,8 @@
                 }
             }
             Record::Destinations(destinations) => self.destinations.extend(destinations),
+            Record::Detached(uid, true) => drop(self.detached.insert(uid)),
+            Record::Detached(uid, false) => drop(self.detached.remove(&uid)),
         }
     }
 }
@@ -280,6 +286,10 @@
         self.append(Record::Outages(outages))
     }
 
+    pub fn detached(&mut self, uid: &str, out: bool) -> Result<(), JournalError> {
+        self.append(Record::Detached(uid.to_owned(), out))
+    }
+
     fn part(&self, part: f64) -> u64 {
         (self.disk as f64 * part) as u64
     }
@@ -331,6 +341,9 @@
         write(Record::Targets(Update { rev: self.image.rev, all: true, targets }))?;
         write(Record::Destinations(self.image.destinations.iter().copied().collect()))?;
         write(Record::Outages(self.image.outages.clone()))?;
+        for uid in &self.image.detached {
+            write(Record::Detached(uid.clone(), true))?;
+        }
         for (number, held) in &self.image.held {
             write(Record::Whole(*number, held.clone()))?;
             if !held.taken.tenant.is_empty() {
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -1,5 +1,6 @@
 //! gullcart: a courier that takes messages from clients and delivers them to partners' endpoints.
 
+mod admin;
 mod calls;
 mod clients;
 mod discovery;
@@ -13,6 +14,7 @@
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::rc::Rc;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -20,8 +22,9 @@
 use tokio::task::LocalSet;
 use tracing::{error, info};
 
+use crate::admin::Door;
 use crate::clients::ClientLimits;
-use crate::driver::{Driver, Ends, Input, IDLE_OF_SLOTS};
+use crate::driver::{Driver, Ends, Input, Phase, IDLE_OF_SLOTS};
 use crate::journal::{Journal, JournalError};
 
 /// Descriptors kept for files, the runtime, the listener, discovery and notices.
@@ -36,6 +39,8 @@
     name: String,
     listen: String,
     discovery: String,
+    /// The operators' door; `$BALANCER_ADMIN_ADDR` goes before it, as it is told to one process.
+    admin_addr: Option<String>,
     seed: String,
     limits: Limits,
     known: discovery::Update,
@@ -106,12 +111,24 @@
     }
 }
 
+async fn bind(address: &str) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|error| StartError::Listen(address.to_owned(), error))
+}
+
 async fn run() -> Result<(), StartError> {
     // Before all else: without a handler the signal would end the process.
     let hang_up = signal(SignalKind::hangup())?;
     let state = PathBuf::from(variable("BALANCER_STATE")?);
     let path = PathBuf::from(variable("BALANCER_CONFIG")?);
     let config = read_config(&path)?;
+    // First of all the door, which says that the courier is not ready yet.
+    let admin = std::env::var("BALANCER_ADMIN_ADDR").ok().or(config.admin_addr).filter(|at| !at.is_empty());
+    let door = Rc::new(Door::default());
+    if let Some(admin) = admin {
+        let listener = bind(&admin).await?;
+        info!(address = %listener.local_addr()?, "operators may call");
+        tokio::task::spawn_local(admin::serve(listener, door.clone()));
+    }
     let parsed = parse_settings_json(&config.settings)?;
     let slots = parsed.settings.call_slots;
     let Settings { couriers, most_held, connect_timeout, conn_idle, kinds, .. } = &parsed.settings;
@@ -124,9 +141,9 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let (inputs, events) = mpsc::unbounded_channel();
     let (notices, owed) = mpsc::unbounded_channel();
-    let (closing, closes) = watch::channel(false);
+    let (phase, phases) = watch::channel(Phase::Serving);
     let sockets = Sockets::deal(config.limits.sockets, slots);
-    let ends = Ends { inputs: inputs.clone(), notices, closing };
+    let ends = Ends { inputs: inputs.clone(), notices, phase };
     let driver = Driver::new(parsed, seed, config.known, journal, sockets.endpoints, ends);
 
     let clients = ClientLimits {
@@ -135,12 +152,11 @@
         long_requests: (config.limits.memory_mb * LONG_REQUESTS_PER_MB) as usize,
     };
     // Clients may come once all that was taken on before has been taken up again.
-    let listener = TcpListener::bind(&config.listen)
-        .await
-        .map_err(|error| StartError::Listen(config.listen.clone(), error))?;
+    let listener = bind(&config.listen).await?;
     let address = listener.local_addr()?;
     info!(name = config.name, %address, "listening");
-    tokio::task::spawn_local(clients::serve(listener, inputs.clone(), closes, clients));
+    tokio::task::spawn_local(clients::serve(listener, inputs.clone(), phases.clone(), clients));
+    door.open(inputs.clone(), phases);
     let (found, agent) = watch::channel(config.discovery);
     tokio::task::spawn_local(discovery::watch(agent.clone(), driver.rev(), inputs.clone()));
     tokio::task::spawn_local(discovery::notices(agent, owed, inputs.clone()));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -98,6 +98,8 @@
 const REAPED_LEAST_AIM: f64 = 1.0 / 64.0;
 /// While idle connections are closed, one is tried so many of the shortest aim after the last loss.
 const REAPED_CHECK_AIMS: f64 = 4.0;
+/// While operators empty the courier, clients that have not yet heard of it are served for so long.
+const LAME_GRACE: Duration = Duration::from_secs(3);
 
 // ---- State ----
 
@@ -126,6 +128,10 @@
     keys_rest: Time,
     /// When this courier ends, if that is known.
     closing: Option<Time>,
+    /// Endpoints that operators leave out, listed or not.
+    detached: BTreeSet<EndpointId>,
+    /// Since when operators have been emptying the courier.
+    lame_since: Option<Time>,
     wake: Option<(Time, u64)>,
     token: u64,
     /// What is to be done, until `decide` hands it over.
@@ -154,6 +160,9 @@
                 self.forget_if_over(id);
             }
             Event::Closing(at) => self.closing = Some(at),
+            Event::Detach(endpoint) => self.on_detach(endpoint),
+            Event::Attach(endpoint) => self.on_attach(now, endpoint),
+            Event::LameDuck(on) => self.lame_since = on.then(|| self.lame_since.unwrap_or(now)),
             Event::ToldWait { endpoint, wait } => self.on_told_wait(now, endpoint, wait),
             Event::Finished(finished) => self.on_finished(now, finished),
             Event::ClientGone(id) => self.close(id),
@@ -188,6 +197,11 @@
         wait.max(backlog).clamp(aim.mul_f64(BACKOFF_BASE_OF_AIM), aim.mul_f64(BACKOFF_CAP_OF_AIM))
     }
 
+    /// Whether new messages are taken on, rather than refused.
+    pub fn takes_on(&self, now: Time) -> bool {
+        self.lame_since.is_none_or(|since| now - since < LAME_GRACE)
+    }
+
     /// The destination with the longest queue, how many wait there, and what holds them up.
     pub fn longest_queue(&mut self, now: Time) -> Option<(DestinationId, usize, Vec<RouteState>)> {
         let (to, queue) = self.queues.iter().max_by_key(|(_, queue)| queue.len())?;
@@ -351,6 +365,32 @@
         }
     }
 
+    fn on_detach(&mut self, endpoint: EndpointId) {
+        if self.detached.insert(endpoint) {
+            self.actions.push(Action::CloseIdle { endpoint });
+        }
+    }
+
+    /// What comes back from the operators counts as cold: it may have been restarted at any time since. What
+    /// its calls met meanwhile says nothing of it now.
+    fn on_attach(&mut self, now: Time, endpoint: EndpointId) {
+        if !self.detached.remove(&endpoint) {
+            return;
+        }
+        let Some(address) = self.addresses.get_mut(&endpoint) else { return };
+        (address.failures, address.avoid_until, address.used) = (0, now, None);
+        let id = self.addresses.get(&endpoint).map(|address| self.route_of(&address.entry));
+        if let Some(route) = id.and_then(|id| self.routes.get_mut(&id)) {
+            (route.spell, route.evidence, route.returned) = (None, 0, Some(now));
+            (route.filled, route.tokens) = (now, 0.0);
+        }
+    }
+
+    /// Whether an endpoint may be given new work.
+    fn is_open(&self, address: &Address) -> bool {
+        address.entry.mode == Mode::Ready && !self.detached.contains(&address.entry.id)
+    }
+
     fn on_finished(&mut self, now: Time, finished: Finished) {
         // A wait binds from the batch that tells it, whichever message of a call brings it, and whatever
         // became of that message.
@@ -485,7 +525,9 @@
         }
         // With a success since it was sent, a lost call says nothing of the route. Nor do errors and resets
         // while an endpoint is left that did not fail; silence does, as a hang mostly takes all.
-        let sound = |a: &Address| a.entry.mode == Mode::Ready && a.failures == 0;
+        let detached = &self.detached;
+        let sound =
+            |a: &Address| a.entry.mode == Mode::Ready && a.failures == 0 && !detached.contains(&a.entry.id);
         let alone = call.sent >= route.last_answer;
         let all_sick = alone && !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
         let blip = settings.rules.fall.mul_f64(BLIP_OF_FALL);
@@ -680,8 +722,7 @@
             if free.is_none_or(|at| at > now) {
                 earliest(next, free);
                 let pace = self.pace(now, route);
-                let ready =
-                    |e: &EndpointId| self.addresses.get(e).is_some_and(|a| a.entry.mode == Mode::Ready);
+                let ready = |e: &EndpointId| self.addresses.get(e).is_some_and(|a| self.is_open(a));
                 let sound =
                     |r: &&Route| r.spell.is_none() && r.returned.is_none() && r.endpoints.iter().any(ready);
                 let sound = self.routes.get(&route).filter(sound);
@@ -806,7 +847,7 @@
         let endpoints = self.routes.get(&id)?.endpoints.iter();
         endpoints
             .filter_map(|endpoint| self.addresses.get(endpoint))
-            .filter(|a| a.entry.mode == Mode::Ready && zone.is_none_or(|z| a.entry.zone == z))
+            .filter(|a| self.is_open(a) && zone.is_none_or(|z| a.entry.zone == z))
             .min_by_key(|a| (a.avoid_until > now, a.calls_out, a.failures, a.preference))
             .map(|a| a.entry.id)
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -415,6 +415,12 @@
     Heard(MessageId),
     /// The courier ends at this time: no call is begun that would not be over by then.
     Closing(Time),
+    /// Operators leave an endpoint out, whatever the list says; it need not be listed. It may come twice.
+    Detach(EndpointId),
+    /// They use it again. It may have been restarted meanwhile.
+    Attach(EndpointId),
+    /// Operators empty the courier, or put it back to work.
+    LameDuck(bool),
     /// An answer that took messages on told to wait all the same. Refusals bring their own
     /// ([`Outcome::Full`]).
     ToldWait {
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,193 @@
+//! The operators' door: maintenance of endpoints and emptying, over loopback sockets and in the module alone.
+
+mod common;
+mod world;
+
+use cloverstile::{Action, Event, Kind, Outcome, Settings};
+use common::{endpoint, ms, safe, settings, Bench};
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::Duration;
+use world::*;
+
+#[test]
+fn what_is_no_call_gets_a_plain_no() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    assert_eq!(courier.operate("GET /_ready"), 200);
+    for (call, no) in [
+        ("GET /", 404),
+        ("GET /_readyx", 404),
+        ("POST /_ready", 405),
+        ("GET /_lameduck/on", 405),
+        ("DELETE /_endpoints/detach?id=s-0", 405),
+        ("POST /_endpoints/detach", 400),
+        ("POST /_endpoints/detach?uid=s-0", 400),
+        ("POST /_endpoints/detach?id=s-0&id=s-1", 400),
+        ("POST /_endpoints/detach?id=s-7", 404),
+        ("POST /_endpoints/attach?id=", 404),
+        ("nonsense", 400),
+    ] {
+        assert_eq!(courier.operate(call), no, "{call}");
+    }
+    let mut half = courier.operator();
+    half.write_all(b"GET /_ready HTTP/1.1\r\nHo").unwrap();
+    half.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(status(half), 400);
+    let mut long = courier.operator();
+    let _ = long.write_all(format!("GET /_ready HTTP/1.1\r\nX: {}", "x".repeat(20_000)).as_bytes());
+    assert_eq!(status(long), 431);
+}
+
+/// Callers that keep their connections without a whole call delay nobody, however many they are.
+#[test]
+fn slow_callers_give_way() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    let slow: Vec<_> = (0..40)
+        .map(|_| {
+            let mut stream = courier.operator();
+            stream.write_all(b"POST /_lameduck/on HTTP/1.1\r\n").unwrap();
+            stream
+        })
+        .collect();
+    // Only a door that makes room for it answers while all of them stay.
+    assert_eq!(courier.operate("GET /_ready"), 200);
+    assert_eq!(courier.client().ask(&["PING"]), "+PONG");
+    let mut slow = slow.into_iter();
+    assert_eq!(slow.next().map(status), Some(408));
+    // The last ones still have their places.
+    let mut last = slow.next_back().unwrap();
+    last.write_all(b"\r\n").unwrap();
+    assert_eq!(status(last), 200);
+}
+
+/// The yes binds whatever the list says, after a second call, and over a restart, until it is taken back.
+#[test]
+fn a_detached_endpoint_gets_nothing_until_it_is_attached() {
+    let world = World::patient(2, 3.0);
+    let mut courier = world.start();
+    assert_eq!(courier.operate("POST /_endpoints/detach?id=s-0"), 200);
+    assert_eq!(courier.operate("POST /_endpoints/detach?id=s-0"), 200);
+    world.remove(0);
+    courier.log_until("the list has changed");
+    world.serve_again(0, 3);
+    courier.log_times("the list has changed", 2);
+    for round in 0..2 {
+        // Both are free: without the ban some of these would go to the first one.
+        let mut client = courier.client();
+        for number in 0..4 {
+            let id = format!("d{round}{number}");
+            assert_eq!(client.enqueue(&id, "0", "salary", 1, b"x"), "+OK");
+        }
+        // After a kill there may be notices too: for calls whose answers it had not read.
+        let calls: Vec<Call> = (0..4).map(|_| world.call_among_notices()).collect();
+        assert!(calls.iter().all(|call| call.endpoint == 1));
+        calls.into_iter().for_each(|call| call.answer("200 OK", ""));
+        assert_eq!(courier.operate("POST /_endpoints/detach?id=s-1"), 200);
+        assert_eq!(courier.client().enqueue(&format!("w{round}"), "0", "salary", 1, b"x"), "+OK");
+        world.no_call();
+        if round == 0 {
+            courier = courier.kill_and_restart();
+            world.no_call();
+        }
+        assert_eq!(courier.operate("POST /_endpoints/attach?id=s-1"), 200);
+        world.call_among_notices().answer("200 OK", "");
+    }
+    assert_eq!(courier.operate("POST /_endpoints/detach?id=s-1"), 200);
+    assert_eq!(courier.operate("POST /_endpoints/attach?id=s-0"), 200);
+    assert_eq!(courier.operate("POST /_endpoints/attach?id=s-0"), 200);
+    assert_eq!(courier.client().enqueue("a1", "0", "salary", 1, b"x"), "+OK");
+    let call = world.call_among_notices();
+    assert_eq!(call.endpoint, 0);
+    call.answer("200 OK", "");
+}
+
+/// A call that still waits for its connection when the ban is told is not made once the connection is up.
+#[test]
+fn a_ban_withdraws_calls_that_are_connecting() {
+    let mut world = World::patient(1, 3.0);
+    let hanging = world.hang_connections(0);
+    let courier = world.start();
+    assert_eq!(courier.client().enqueue("c1", "0", "salary", 1, b"x"), "+OK");
+    assert_eq!(courier.operate("POST /_endpoints/detach?id=s-0"), 200);
+    world.release(hanging);
+    world.no_call();
+}
+
+/// A courier that is emptied says no, lets its clients go, delivers what it has, and goes back to work.
+#[test]
+fn a_lame_duck_lets_its_clients_go_and_comes_back() {
+    let world = World::patient(1, 3.0);
+    let courier = world.start();
+    let (mut idle, mut half) = (courier.client(), courier.client());
+    assert_eq!(idle.enqueue("l1", "0", "salary", 1, b"x"), "+OK");
+    let out = world.call();
+    assert_eq!(half.ask(&["PING"]), "+PONG");
+    half.send(b"*1\r\n$4\r\nPI");
+    assert_eq!(courier.operate("POST /_lameduck/on"), 200);
+    assert_eq!(courier.operate("POST /_lameduck/on"), 200);
+    assert!(idle.is_closed());
+    // A request that has begun is answered, on the way out.
+    half.send(b"NG\r\n");
+    assert!(half.line().starts_with("-ERR"));
+    assert!(half.is_closed());
+    // So is a first one on a connection that was on its way.
+    let mut late = courier.client();
+    assert_eq!(late.enqueue("l2", "0", "salary", 1, b"x"), "+OK");
+    assert!(late.is_closed());
+    assert_eq!(courier.operate("GET /_ready"), 503);
+    out.answer("200 OK", "");
+    world.call().answer("200 OK", "");
+    assert_eq!(courier.operate("POST /_lameduck/off"), 200);
+    let mut client = courier.client();
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    assert_eq!(courier.operate("GET /_ready"), 200);
+    world.nothing();
+}
+
+/// Past the time in which clients hear of it, an emptied courier takes nothing on.
+#[test]
+fn a_lame_duck_takes_nothing_on_after_a_while() {
+    let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(11, 3)]);
+    bench.tell(Event::LameDuck(true));
+    assert!(bench.courier.takes_on(bench.now));
+    bench.now = bench.now + ms(2000);
+    bench.tell(Event::LameDuck(true));
+    bench.now = bench.now + ms(1500);
+    assert!(!bench.courier.takes_on(bench.now));
+    bench.tell(Event::LameDuck(false));
+    assert!(bench.courier.takes_on(bench.now));
+}
+
+/// What comes back from the operators may have been restarted: it is served slowly at first.
+#[test]
+fn an_attached_endpoint_counts_as_cold() {
+    let apart = vec![Kind { batch: 1, own_limits: true }];
+    let mut bench = Bench::new(
+        Settings { kinds: apart, call_slots: 64, ..settings(vec![safe()]) },
+        vec![endpoint(11, 3), endpoint(12, 4)],
+    );
+    bench.tell(Event::Detach(cloverstile::EndpointId(11)));
+    let actions = bench.decide();
+    assert!(actions.contains(&Action::CloseIdle { endpoint: cloverstile::EndpointId(11) }), "{actions:?}");
+    (1..=40).for_each(|id| bench.accept(id, 0, 3, None));
+    assert_eq!(bench.routes(), []);
+    bench.tell(Event::Attach(cloverstile::EndpointId(11)));
+    // One that was never left out is as warm as ever.
+    bench.tell(Event::Attach(cloverstile::EndpointId(12)));
+    (41..=60).for_each(|id| bench.accept(id, 0, 4, None));
+    let (mut cold, mut warm) = (0, 0);
+    let end = bench.now + Duration::from_secs(1);
+    while bench.now < end {
+        for (message, at, _) in bench.routes() {
+            *(if at == 11 { &mut cold } else { &mut warm }) += 1;
+            bench.finish(message, at, Outcome::Ok, ms(5));
+        }
+        bench.now = bench.now + ms(5);
+    }
+    // At most what the rule on cold returns lets one courier send in a second: 2.0 x 100/s from 20% on.
+    assert!((1..=40).contains(&cold) && warm == 20, "{cold} and {warm}");
+    assert!(bench.courier.outages().any(|outage| outage.returned.is_some()));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -382,7 +382,7 @@
             class(self.aim, "salary", "non_idempotent", 0, false),
         ];
         let config = json!({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": agent.address.to_string(), "seed": "7",
+            "name": "n0", "listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0", "discovery": agent.address.to_string(), "seed": "7",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": {"rev": 1, "all": true, "targets": targets},
             "settings": {
@@ -459,6 +459,11 @@
         self.tell(2, &[self.target(endpoint, "DRAINING")]);
     }
 
+    /// Tells the watch that an endpoint serves, as a later version of the list.
+    pub fn serve_again(&self, endpoint: usize, rev: u32) {
+        self.tell(rev, &[self.target(endpoint, "SERVING")]);
+    }
+
     /// Tells the watch that an endpoint is gone.
     pub fn remove(&self, endpoint: usize) {
         self.tell(2, &[self.target(endpoint, "DELETED")]);
@@ -503,6 +508,13 @@
     child: Child,
     log: Arc<Log>,
     address: SocketAddr,
+    admin: SocketAddr,
+}
+
+/// The address that a line of the log tells.
+fn address_in(line: &str) -> SocketAddr {
+    let address = line.split_once("address=").map(|(_, rest)| rest.split_whitespace().next());
+    address.flatten().unwrap().parse().unwrap()
 }
 
 impl<'a> Courier<'a> {
@@ -521,13 +533,27 @@
                 shared.more.notify_all();
             }
         });
-        let mut courier = Courier { world, child, log, address: SocketAddr::from(([127, 0, 0, 1], 0)) };
-        let line = courier.log_until("listening");
-        let address = line.split_once("address=").map(|(_, rest)| rest.split_whitespace().next());
-        courier.address = address.flatten().unwrap().parse().unwrap();
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut courier = Courier { world, child, log, address: nowhere, admin: nowhere };
+        courier.admin = address_in(&courier.log_until("operators may call"));
+        courier.address = address_in(&courier.log_until("listening"));
         courier
     }
 
+    /// A connection to the operators' door.
+    pub fn operator(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.admin).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
+    /// Makes a call of the operators, and gives its status.
+    pub fn operate(&self, call: &str) -> u16 {
+        let mut stream = self.operator();
+        let _ = stream.write_all(format!("{call} HTTP/1.1\r\nHost: door\r\n\r\n").as_bytes());
+        status(stream)
+    }
+
     /// Waits for a line of the log that holds some words, and returns it.
     pub fn log_until(&self, words: &str) -> String {
         self.log_times(words, 1)
@@ -615,6 +641,16 @@
     }
 }
 
+/// The status of the answer that comes on a connection to the door.
+pub fn status(mut stream: TcpStream) -> u16 {
+    let mut answer = Vec::new();
+    // A reset may follow an answer to what was not read to its end.
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok());
+    status.unwrap_or_else(|| panic!("no answer: {answer:?}"))
+}
+
 pub struct Stopped<'a> {
     world: &'a World,
 }
