--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
+use std::cell::Cell;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -245,6 +246,8 @@
     pub sockets: u32,
     /// Each endpoint has a destination of its own, from 1 on.
     pub apart: bool,
+    /// Names of the settings: a process with others does not understand one's memory.
+    pub zone: Cell<&'static str>,
     disk_mb: f64,
     _cleanup: Cleanup,
 }
@@ -265,6 +268,7 @@
         let own = format!("gullcart-test-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
         let folder = std::env::temp_dir().join(own);
         std::fs::create_dir_all(folder.join("state")).unwrap();
+        std::fs::create_dir_all(folder.join("tmp")).unwrap();
         let (send, seen) = channel();
         let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
         let mut addresses = Vec::new();
@@ -289,6 +293,7 @@
             batch: 1,
             sockets: 1024,
             apart: false,
+            zone: Cell::new("kingston"),
             disk_mb,
         }
     }
@@ -355,6 +360,11 @@
     }
 
     pub fn start(&self) -> Courier<'_> {
+        self.start_beside().listening()
+    }
+
+    /// Starts a process that may have to wait for another one.
+    pub fn start_beside(&self) -> Courier<'_> {
         self.configure(&self.discovery);
         Courier::start(self)
     }
@@ -386,7 +396,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": {"rev": 1, "all": true, "targets": targets},
             "settings": {
-                "Balancers": 1, "Lanes": classes, "MachineTypes": ["banks"], "Zones": ["kingston"],
+                "Balancers": 1, "Lanes": classes, "MachineTypes": ["banks"], "Zones": [self.zone.get()],
                 "Projects": [{"Name": "north", "QuotaPerS": 0.0}, {"Name": "south", "QuotaPerS": 1e6}],
                 "OverShareWorth": 0.2,
                 "WeightSource": "nominal", "FamilyInfo": {"CallsOut": self.slots, "KindBatch": [self.batch], "OwnLimits": [false]},
@@ -521,6 +531,7 @@
     fn start(world: &'a World) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_gullcart"))
             .env("BALANCER_STATE", world.folder.join("state"))
+            .env("TMPDIR", world.folder.join("tmp"))
             .env("BALANCER_CONFIG", world.folder.join("config.json"))
             .stderr(Stdio::piped())
             .spawn()
@@ -536,10 +547,15 @@
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut courier = Courier { world, child, log, address: nowhere, admin: nowhere };
         courier.admin = address_in(&courier.log_until("operators may call"));
-        courier.address = address_in(&courier.log_until("listening"));
         courier
     }
 
+    /// Waits until it serves.
+    pub fn listening(mut self) -> Self {
+        self.address = address_in(&self.log_until("listening"));
+        self
+    }
+
     /// A connection to the operators' door.
     pub fn operator(&self) -> TcpStream {
         let stream = TcpStream::connect(self.admin).unwrap();
@@ -657,7 +673,7 @@
 
 impl<'a> Stopped<'a> {
     pub fn restart(self) -> Courier<'a> {
-        Courier::start(self.world)
+        Courier::start(self.world).listening()
     }
 }
 
