--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -109,7 +109,7 @@
     let new = world.start();
     assert_eq!(new.operate("GET /_ready"), 200);
     world.nothing();
-    drop(old.kill());
+    old.kill();
     let (mut notices, mut calls) = (Vec::new(), Vec::new());
     for _ in 0..2 {
         match world.call_or_notice() {
@@ -146,7 +146,7 @@
     assert_eq!(client.enqueue("k1", "9", "notice,k=a", 1, b"1"), "+OK");
     let out = world.call();
     assert_eq!(client.enqueue("k2", "9", "notice,k=b", 1, b"2"), "+OK");
-    drop(world.start().kill());
+    world.start().kill();
     assert!(old.log_until("this one goes on").contains("untouched=true"));
     world.no_call();
     out.answer("200 OK", "");
@@ -173,7 +173,7 @@
     assert_eq!(client.enqueue("u1", "0", "salary", 1, b"3"), "+OK");
     let other = world.call();
     assert_eq!(other.id, "u1");
-    drop(new.kill());
+    new.kill();
     assert!(old.log_until("this one goes on").contains("untouched=false"));
     let (mut notices, mut order) = (Vec::new(), Vec::new());
     while notices.is_empty() || order.len() < 2 {
