--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -10,12 +10,13 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::{watch, Notify, Semaphore};
 use tokio::time::timeout;
 use tracing::{error, info, warn};
 
@@ -27,7 +28,7 @@
 /// The watch has an empty line every 2 s; silence for this long is an outage of discovery. What was missed counts
 /// as told after 6 s, so that there is no time for a longer wait.
 const SILENCE: Duration = Duration::from_secs(3);
-/// Between tries to reach the agent.
+/// Between tries to tell notices.
 const BACK_OFF: Duration = Duration::from_millis(100);
 /// Notices that go in one request at most.
 const NOTICES: usize = 200;
@@ -256,8 +257,8 @@
 /// Where discovery's agent is now; a new address is gone over to at once.
 pub type Agent = watch::Receiver<String>;
 
-/// Watches the list from the last version on. Ends never: what breaks is begun anew after a short pause.
-pub async fn watch(mut agent: Agent, mut rev: u64, driver: UnboundedSender<Input>) {
+/// Watches the list from the last version on. Ends never: what breaks is begun anew when the module says so.
+pub async fn watch(mut agent: Agent, mut rev: u64, driver: UnboundedSender<Input>, again: Rc<Notify>) {
     let mut down = false;
     // Another agent may know another list: it is asked for the whole of it first.
     let mut whole = false;
@@ -279,7 +280,11 @@
             warn!(reason, rev, "the watch on the list broke");
             down = true;
         }
-        whole |= timeout(BACK_OFF, agent.changed()).await.is_ok();
+        let _ = driver.send(Input::Watched(false));
+        tokio::select! {
+            () = again.notified() => {}
+            changed = agent.changed() => whole |= changed.is_ok(),
+        }
     }
 }
 
@@ -309,6 +314,7 @@
     if response.status() != StatusCode::OK {
         return Err(AgentError::Status(response.status()));
     }
+    let _ = driver.send(Input::Watched(true));
     let mut body = response.into_body();
     let mut buffer = Vec::new();
     while let Some(part) = timeout(SILENCE, body.frame()).await? {
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{oneshot, watch, Notify};
 use tokio::time::{interval, sleep_until, timeout, Instant};
 use tracing::{error, info, warn};
 
@@ -51,6 +51,8 @@
     /// A client was gone before it could be told that its message was taken on, by its own hand-in.
     Unheard(MessageId),
     Listed(Update),
+    /// The watch on the list is up, or it is not.
+    Watched(bool),
     /// What became of the messages of one call.
     Ended(EndpointId, Vec<MessageId>, CallEnded),
     /// The platform has these notices.
@@ -106,6 +108,8 @@
     /// What happens to this part, also by its own doing.
     pub inputs: UnboundedSender<Input>,
     pub notices: UnboundedSender<Notice>,
+    /// The list is to be watched again.
+    pub watch: Rc<Notify>,
     pub phase: watch::Sender<Phase>,
 }
 
@@ -216,6 +220,7 @@
     out: HashMap<MessageId, Out>,
     inputs: UnboundedSender<Input>,
     notices: UnboundedSender<Notice>,
+    watch: Rc<Notify>,
     phase: watch::Sender<Phase>,
     ends: Option<(Instant, Instant)>,
     wake: Option<(Instant, u64)>,
@@ -234,7 +239,7 @@
         seed: u64,
         journal: Journal,
         endpoint_sockets: usize,
-        Ends { inputs, notices, phase }: Ends,
+        Ends { inputs, notices, watch, phase }: Ends,
     ) -> Self {
         parsed.settings.answers_take_time = true;
         let directory = Directory::new(&parsed);
@@ -259,6 +264,7 @@
             out: HashMap::new(),
             inputs,
             notices,
+            watch,
             phase,
             ends: None,
             wake: None,
@@ -569,6 +575,8 @@
             }
             Input::Unheard(message) => self.unheard(now, message),
             Input::Listed(update) => self.listed(now, update),
+            Input::Watched(true) => self.courier.handle(now, Event::Watching),
+            Input::Watched(false) => self.courier.handle(now, Event::Listed(Listing::Failed)),
             Input::Ended(endpoint, messages, ended) => self.call_ended(now, endpoint, &messages, &ended),
             Input::Heard(messages) => {
                 for message in messages {
@@ -837,13 +845,9 @@
             Action::Wake { after, token } => self.wake = Some((self.clock.instant(now + after), token)),
             Action::CloseIdle { endpoint } => self.pool.close(endpoint),
             Action::Log { ref text } => info!("{text}"),
-            // Routes have gone out as calls. The watch is always on, and the deployment permits neither probes
-            // nor notes.
-            Action::Route { .. }
-            | Action::KeepInformed { .. }
-            | Action::Refresh
-            | Action::Probe { .. }
-            | Action::Tell { .. } => {}
+            Action::KeepInformed { .. } => self.watch.notify_one(),
+            // Routes have gone out as calls. The deployment permits neither probes nor notes.
+            Action::Route { .. } | Action::Refresh | Action::Probe { .. } | Action::Tell { .. } => {}
         }
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -99,6 +99,9 @@
 const REAPED_LEAST_AIM: f64 = 1.0 / 64.0;
 /// While idle connections are closed, one is tried so many of the shortest aim after the last loss.
 const REAPED_CHECK_AIMS: f64 = 4.0;
+/// First gap before the watch on the list is tried again; it doubles up to so much for each courier: all of
+/// them lose it at one moment, and discovery must not be kept down by those that ask for it.
+const WATCH_GAP: Duration = Duration::from_millis(100);
 /// While operators empty the courier, clients that have not yet heard of it are served for so long.
 const LAME_GRACE: Duration = Duration::from_secs(3);
 
@@ -130,6 +133,9 @@
     reaping: Reaping,
     /// After a restart no order key is used before this: any of them may have had a call out.
     keys_rest: Time,
+    /// Tries to watch the list that failed since the last one that did not, and when the next one is due.
+    unwatched: u32,
+    watch_at: Option<Time>,
     /// When this courier ends, if that is known.
     closing: Option<Time>,
     /// Endpoints that operators leave out, listed or not.
@@ -167,6 +173,7 @@
     pub fn handle(&mut self, now: Time, event: Event) {
         match event {
             Event::Listed(listing) => self.on_listing(now, listing),
+            Event::Watching => (self.unwatched, self.watch_at) = (0, None),
             Event::Accept(message) => self.on_accept(now, message),
             Event::Restored(message) => self.on_restored(now, message),
             Event::Recalled(outage) => self.on_recalled(now, outage),
@@ -240,6 +247,7 @@
         let mut next = self.note_stalls(now);
         self.free_pinned_slot(now);
         self.send_ready(now, &mut next);
+        self.watch_again(now, &mut next);
         self.set_wake(now, next);
         actions.append(&mut self.actions);
     }
@@ -248,7 +256,13 @@
 
     fn on_listing(&mut self, now: Time, listing: Listing) {
         let entries = match listing {
-            Listing::Failed => return,
+            Listing::Failed => {
+                let longest = WATCH_GAP.mul_f64(couriers(&self.settings));
+                let gap = growing_gap(WATCH_GAP, 1.0, self.unwatched).min(longest);
+                self.watch_at = Some(now + gap.mul_f64(self.rng.f64()));
+                self.unwatched += 1;
+                return;
+            }
             Listing::Changes(entries) => entries,
             Listing::Whole(entries) => {
                 // What a whole list does not name is gone: it gets nothing new from now on.
@@ -285,6 +299,14 @@
         }
     }
 
+    /// Watches the list again once its gap has passed.
+    fn watch_again(&mut self, now: Time, next: &mut Option<Time>) {
+        if self.watch_at.take_if(|at| *at <= now).is_some() {
+            self.actions.push(Action::KeepInformed { active: true });
+        }
+        earliest(next, self.watch_at);
+    }
+
     /// Forgets an endpoint that is gone and has no call out. What was learnt of its destination stays, except
     /// where it was a route of its own.
     fn forget_address(&mut self, id: EndpointId) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,7 +280,7 @@
     Changes(Vec<Endpoint>),
     /// The whole list; what it does not name is gone.
     Whole(Vec<Endpoint>),
-    /// The list could not be had; the prior one remains valid.
+    /// The list could not be had, or the watch on it broke; the prior one remains valid.
     Failed,
 }
 
@@ -408,6 +408,8 @@
 pub enum Event {
     /// News of the list.
     Listed(Listing),
+    /// The watch on the list is up.
+    Watching,
     /// A message was taken.
     Accept(Accepted),
     /// A message taken before a restart. They come in the order in which they were taken, before all others.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -695,3 +695,37 @@
     assert_eq!(outages_after(Outcome::Spoilt), 0);
     assert_eq!(outages_after(Outcome::Reset), 1);
 }
+
+/// A watch that breaks is tried again at growing gaps, and all couriers together ask about as often as one may: they
+/// lose it at one moment, and discovery must have room to come back.
+#[test]
+fn a_broken_watch_is_tried_again_at_growing_gaps() {
+    let tries = |couriers: u32, span: Duration| {
+        let mut bench = Bench::new(Settings { couriers, ..settings(vec![safe()]) }, vec![endpoint(11, 3)]);
+        let end = bench.now + span;
+        let mut tries = 0;
+        bench.tell(Event::Listed(Listing::Failed));
+        while bench.now < end {
+            let asked = bench.decide().iter().any(|a| matches!(a, Action::KeepInformed { active: true }));
+            if asked {
+                tries += 1;
+                bench.tell(Event::Listed(Listing::Failed));
+            }
+            bench.now = bench.now + ms(5);
+        }
+        tries
+    };
+    let (few, many) = (tries(3, Duration::from_secs(60)), tries(48, Duration::from_secs(60)));
+    // Gaps of 0.15 s and 2.4 s in the mean.
+    assert!((250..=600).contains(&few) && (15..=50).contains(&many), "{few} and {many}");
+    // The first tries come soon, and one that succeeds makes the next gap short again.
+    assert!(tries(48, Duration::from_secs(1)) >= 3);
+    let mut bench = Bench::new(Settings { couriers: 48, ..settings(vec![safe()]) }, vec![endpoint(11, 3)]);
+    for _ in 0..8 {
+        bench.tell(Event::Listed(Listing::Failed));
+    }
+    bench.tell(Event::Watching);
+    assert_eq!(bench.until_action(Duration::from_secs(10)), []);
+    bench.tell(Event::Listed(Listing::Failed));
+    assert_eq!(bench.until_action(ms(110)), [Action::KeepInformed { active: true }]);
+}
