--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -10,13 +10,12 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::{watch, Notify, Semaphore};
+use tokio::sync::{watch, Semaphore};
 use tokio::time::timeout;
 use tracing::{error, info, warn};
 
@@ -24,7 +23,7 @@
 use crate::journal::Verdict;
 
 /// The agent is on this machine: what it does not answer in this time it does not answer now.
-const ANSWER: Duration = Duration::from_millis(500);
+pub const ANSWER: Duration = Duration::from_millis(500);
 /// The watch has an empty line every 2 s; silence for this long is an outage of discovery. What was missed counts
 /// as told after 6 s, so that there is no time for a longer wait.
 const SILENCE: Duration = Duration::from_secs(3);
@@ -257,86 +256,102 @@
 /// Where discovery's agent is now; a new address is gone over to at once.
 pub type Agent = watch::Receiver<String>;
 
-/// Watches the list from the last version on. Ends never: what breaks is begun anew when the module says so.
-pub async fn watch(mut agent: Agent, mut rev: u64, driver: UnboundedSender<Input>, again: Rc<Notify>) {
-    let mut down = false;
-    // Another agent may know another list: it is asked for the whole of it first.
-    let mut whole = false;
-    loop {
-        let address = agent.borrow_and_update().clone();
-        let watching = watch_once(&address, &mut whole, &mut rev, &driver, &mut down);
-        let result = tokio::select! {
-            result = watching => result,
-            changed = agent.changed() => {
-                if changed.is_err() {
-                    return;
+/// The watch on the list, from its last version on.
+pub struct Watch {
+    pub agent: Agent,
+    pub rev: u64,
+    /// What breaks is begun anew when the module says so, which says how long an answer may take.
+    pub again: watch::Receiver<Duration>,
+}
+
+impl Watch {
+    /// Ends never.
+    pub async fn run(mut self, driver: UnboundedSender<Input>) {
+        let mut down = false;
+        // Another agent may know another list: it is asked for the whole of it first.
+        let mut whole = false;
+        let mut agent = self.agent.clone();
+        loop {
+            let address = agent.borrow_and_update().clone();
+            let result = tokio::select! {
+                result = self.once(&address, &mut whole, &driver, &mut down) => result,
+                changed = agent.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    (whole, down) = (true, false);
+                    continue;
                 }
-                (whole, down) = (true, false);
-                continue;
+            };
+            let why = match &result {
+                Err(AgentError::Status(StatusCode::SERVICE_UNAVAILABLE)) => Listing::Refused,
+                _ => Listing::Failed,
+            };
+            let reason = result.err().map_or_else(|| "ended".to_owned(), |error| error.to_string());
+            if !down {
+                warn!(reason, rev = self.rev, "the watch on the list broke");
+                down = true;
+            }
+            self.again.mark_unchanged();
+            let _ = driver.send(Input::Unwatched(why));
+            tokio::select! {
+                Ok(()) = self.again.changed() => {}
+                changed = agent.changed() => whole |= changed.is_ok(),
             }
-        };
-        let reason = result.err().map_or_else(|| "ended".to_owned(), |error| error.to_string());
-        if !down {
-            warn!(reason, rev, "the watch on the list broke");
-            down = true;
-        }
-        let _ = driver.send(Input::Watched(false));
-        tokio::select! {
-            () = again.notified() => {}
-            changed = agent.changed() => whole |= changed.is_ok(),
         }
     }
-}
 
-async fn watch_once(
-    agent: &str,
-    whole: &mut bool,
-    rev: &mut u64,
-    driver: &UnboundedSender<Input>,
-    down: &mut bool,
-) -> Result<(), AgentError> {
-    let mut connection = connect(agent).await?;
-    if *whole {
-        let request = Request::get("/v1/endpoints").header("Host", agent).body(Full::default())?;
-        let list = timeout(ANSWER, fetch(&mut connection, request)).await??;
-        // An agent that has heard less than the one before must not take back a drain.
-        if list.rev >= *rev {
-            *rev = list.rev;
-            let _ = driver.send(Input::Listed(Update { all: true, ..list }));
+    async fn once(
+        &mut self,
+        agent: &str,
+        whole: &mut bool,
+        driver: &UnboundedSender<Input>,
+        down: &mut bool,
+    ) -> Result<(), AgentError> {
+        let patience = *self.again.borrow();
+        let mut connection = connect(agent).await?;
+        if *whole {
+            let request = Request::get("/v1/endpoints").header("Host", agent).body(Full::default())?;
+            let list = timeout(patience, fetch(&mut connection, request)).await??;
+            // An agent that has heard less than the one before must not take back a drain.
+            if list.rev >= self.rev {
+                self.rev = list.rev;
+                let _ = driver.send(Input::Listed(Update { all: true, ..list }));
+            }
+            *whole = false;
+            timeout(ANSWER, connection.ready()).await??;
         }
-        *whole = false;
-        timeout(ANSWER, connection.ready()).await??;
-    }
-    let request = Request::get(format!("/v1/endpoints?watch=1&after={rev}"))
-        .header("Host", agent)
-        .body(Full::default())?;
-    let response = timeout(ANSWER, connection.send_request(request)).await??;
-    if response.status() != StatusCode::OK {
-        return Err(AgentError::Status(response.status()));
-    }
-    let _ = driver.send(Input::Watched(true));
-    let mut body = response.into_body();
-    let mut buffer = Vec::new();
-    while let Some(part) = timeout(SILENCE, body.frame()).await? {
-        if *down {
-            info!(rev, "the list is being watched again");
-            *down = false;
+        let request = Request::get(format!("/v1/endpoints?watch=1&after={}", self.rev))
+            .header("Host", agent)
+            .body(Full::default())?;
+        let response = timeout(patience, connection.send_request(request)).await??;
+        if response.status() != StatusCode::OK {
+            return Err(AgentError::Status(response.status()));
         }
-        let Ok(data) = part?.into_data() else { continue };
-        buffer.extend_from_slice(&data);
-        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-            let line: Vec<u8> = buffer.drain(..=end).collect();
-            if !line.trim_ascii().is_empty() {
-                let update: Update = serde_json::from_slice(&line)?;
-                *rev = update.rev;
-                let _ = driver.send(Input::Listed(update));
+        let _ = driver.send(Input::Watched);
+        let mut body = response.into_body();
+        let mut buffer = Vec::new();
+        while let Some(part) = timeout(SILENCE, body.frame()).await? {
+            if *down {
+                info!(rev = self.rev, "the list is being watched again");
+                *down = false;
+            }
+            let Ok(data) = part?.into_data() else { continue };
+            buffer.extend_from_slice(&data);
+            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = buffer.drain(..=end).collect();
+                if !line.trim_ascii().is_empty() {
+                    let update: Update = serde_json::from_slice(&line)?;
+                    self.rev = update.rev;
+                    let _ = driver.send(Input::Listed(update));
+                }
+            }
+            if buffer.len() > LONGEST_LIST {
+                return Err(AgentError::Long);
             }
         }
-        if buffer.len() > LONGEST_LIST {
-            return Err(AgentError::Long);
-        }
+        Ok(())
     }
-    Ok(())
 }
 
 /// The whole list.
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::{oneshot, watch, Notify};
+use tokio::sync::{oneshot, watch};
 use tokio::time::{interval, sleep_until, timeout, Instant};
 use tracing::{error, info, warn};
 
@@ -51,8 +51,10 @@
     /// A client was gone before it could be told that its message was taken on, by its own hand-in.
     Unheard(MessageId),
     Listed(Update),
-    /// The watch on the list is up, or it is not.
-    Watched(bool),
+    /// The watch on the list is up.
+    Watched,
+    /// It is not, or the list was refused.
+    Unwatched(Listing),
     /// What became of the messages of one call.
     Ended(EndpointId, Vec<MessageId>, CallEnded),
     /// The platform has these notices.
@@ -108,8 +110,8 @@
     /// What happens to this part, also by its own doing.
     pub inputs: UnboundedSender<Input>,
     pub notices: UnboundedSender<Notice>,
-    /// The list is to be watched again.
-    pub watch: Rc<Notify>,
+    /// The list is to be watched again, and how long discovery may take to answer.
+    pub watch: watch::Sender<Duration>,
     pub phase: watch::Sender<Phase>,
 }
 
@@ -220,7 +222,7 @@
     out: HashMap<MessageId, Out>,
     inputs: UnboundedSender<Input>,
     notices: UnboundedSender<Notice>,
-    watch: Rc<Notify>,
+    watch: watch::Sender<Duration>,
     phase: watch::Sender<Phase>,
     ends: Option<(Instant, Instant)>,
     wake: Option<(Instant, u64)>,
@@ -575,8 +577,8 @@
             }
             Input::Unheard(message) => self.unheard(now, message),
             Input::Listed(update) => self.listed(now, update),
-            Input::Watched(true) => self.courier.handle(now, Event::Watching),
-            Input::Watched(false) => self.courier.handle(now, Event::Listed(Listing::Failed)),
+            Input::Watched => self.courier.handle(now, Event::Watching),
+            Input::Unwatched(why) => self.courier.handle(now, Event::Listed(why)),
             Input::Ended(endpoint, messages, ended) => self.call_ended(now, endpoint, &messages, &ended),
             Input::Heard(messages) => {
                 for message in messages {
@@ -845,7 +847,7 @@
             Action::Wake { after, token } => self.wake = Some((self.clock.instant(now + after), token)),
             Action::CloseIdle { endpoint } => self.pool.close(endpoint),
             Action::Log { ref text } => info!("{text}"),
-            Action::KeepInformed { .. } => self.watch.notify_one(),
+            Action::KeepInformed { .. } => drop(self.watch.send_replace(self.courier.watch_patience())),
             // Routes have gone out as calls. The deployment permits neither probes nor notes.
             Action::Route { .. } | Action::Refresh | Action::Probe { .. } | Action::Tell { .. } => {}
         }
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -21,13 +21,14 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{mpsc, watch, Notify, Semaphore};
+use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 use tracing::{error, info, warn};
 
 use crate::admin::Door;
 use crate::clients::{ClientLimits, Clients};
+use crate::discovery::Watch;
 use crate::driver::{Driver, Ends, Input, Phase, IDLE_OF_SLOTS};
 use crate::handover::{Begun, Given, Offer};
 use crate::journal::{Journal, JournalError};
@@ -175,7 +176,7 @@
     let (inputs, mut events) = mpsc::unbounded_channel();
     let (notices, owed) = mpsc::unbounded_channel();
     let (phase, phases) = watch::channel(Phase::Serving);
-    let again = Rc::new(Notify::new());
+    let (watch, again) = watch::channel(discovery::ANSWER);
     let sockets = Sockets::deal(config.limits.sockets, slots);
     let plan = Plan {
         parsed,
@@ -183,7 +184,7 @@
         endpoint_sockets: sockets.endpoints,
         disk: (config.limits.disk_mb * 1e6) as u64,
         state,
-        ends: Ends { inputs: inputs.clone(), notices, watch: again.clone(), phase: phase.clone() },
+        ends: Ends { inputs: inputs.clone(), notices, watch, phase: phase.clone() },
     };
     let mut driver = plan.driver()?;
     let limits = ClientLimits {
@@ -222,12 +223,8 @@
     door.open(inputs.clone(), phases);
     loop {
         let accepting = tokio::task::spawn_local(clients.clone().serve(listener));
-        let watching = tokio::task::spawn_local(discovery::watch(
-            agent.clone(),
-            driver.rev(),
-            inputs.clone(),
-            again.clone(),
-        ));
+        let watch = Watch { agent: agent.clone(), rev: driver.rev(), again: again.clone() };
+        let watching = tokio::task::spawn_local(watch.run(inputs.clone()));
         let offer = Offer::new(&socket);
         let next = loop {
             let next = tokio::select! {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -99,9 +99,13 @@
 const REAPED_LEAST_AIM: f64 = 1.0 / 64.0;
 /// While idle connections are closed, one is tried so many of the shortest aim after the last loss.
 const REAPED_CHECK_AIMS: f64 = 4.0;
-/// First gap before the watch on the list is tried again; it doubles up to so much for each courier: all of
-/// them lose it at one moment, and discovery must not be kept down by those that ask for it.
+/// Gap before the watch on the list is tried again where discovery said nothing ...
 const WATCH_GAP: Duration = Duration::from_millis(100);
+/// ... and where it refused, so much for each courier at first and at most: all of them lose it at one moment, and
+/// together they must ask less than it can answer, or none of them hears of it again.
+const WATCH_GAPS_REFUSED: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
+/// How long discovery may take to answer, and where it refused: who hangs up has made it work for nothing.
+const WATCH_PATIENCE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(3));
 /// While operators empty the courier, clients that have not yet heard of it are served for so long.
 const LAME_GRACE: Duration = Duration::from_secs(3);
 
@@ -133,8 +137,8 @@
     reaping: Reaping,
     /// After a restart no order key is used before this: any of them may have had a call out.
     keys_rest: Time,
-    /// Tries to watch the list that failed since the last one that did not, and when the next one is due.
-    unwatched: u32,
+    /// Tries to watch the list that were refused since the last one that was not, and when the next one is due.
+    refused: u32,
     watch_at: Option<Time>,
     /// When this courier ends, if that is known.
     closing: Option<Time>,
@@ -173,7 +177,7 @@
     pub fn handle(&mut self, now: Time, event: Event) {
         match event {
             Event::Listed(listing) => self.on_listing(now, listing),
-            Event::Watching => (self.unwatched, self.watch_at) = (0, None),
+            Event::Watching => (self.refused, self.watch_at) = (0, None),
             Event::Accept(message) => self.on_accept(now, message),
             Event::Restored(message) => self.on_restored(now, message),
             Event::Recalled(outage) => self.on_recalled(now, outage),
@@ -226,6 +230,15 @@
         self.lame_since.is_none_or(|since| now - since < LAME_GRACE)
     }
 
+    /// How long to wait for an answer of discovery.
+    pub fn watch_patience(&self) -> Duration {
+        if self.refused > 0 {
+            WATCH_PATIENCE.1
+        } else {
+            WATCH_PATIENCE.0
+        }
+    }
+
     /// The destination with the longest queue, how many wait there, and what holds them up.
     pub fn longest_queue(&mut self, now: Time) -> Option<(DestinationId, usize, Vec<RouteState>)> {
         let (to, queue) = self.queues.iter().max_by_key(|(_, queue)| queue.len())?;
@@ -257,10 +270,15 @@
     fn on_listing(&mut self, now: Time, listing: Listing) {
         let entries = match listing {
             Listing::Failed => {
-                let longest = WATCH_GAP.mul_f64(couriers(&self.settings));
-                let gap = growing_gap(WATCH_GAP, 1.0, self.unwatched).min(longest);
+                self.watch_at = Some(now + WATCH_GAP);
+                return;
+            }
+            Listing::Refused => {
+                let (first, longest) = WATCH_GAPS_REFUSED;
+                let gap =
+                    growing_gap(first, 1.0, self.refused).min(longest).mul_f64(couriers(&self.settings));
                 self.watch_at = Some(now + gap.mul_f64(self.rng.f64()));
-                self.unwatched += 1;
+                self.refused += 1;
                 return;
             }
             Listing::Changes(entries) => entries,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -282,6 +282,8 @@
     Whole(Vec<Endpoint>),
     /// The list could not be had, or the watch on it broke; the prior one remains valid.
     Failed,
+    /// So it is, as discovery has more to do than it can.
+    Refused,
 }
 
 /// A message that the courier now owes one final answer.
