--- a/src/choice.rs
+++ b/src/choice.rs
@@ -101,8 +101,8 @@
 const REAPED_CHECK_AIMS: f64 = 4.0;
 /// Gap before the watch on the list is tried again where discovery said nothing ...
 const WATCH_GAP: Duration = Duration::from_millis(100);
-/// ... and where it refused, so much for each courier at first and at most: all of them lose it at one moment, and
-/// together they must ask less than it can answer, or none of them hears of it again.
+/// ... and where it refused, so much for each courier at first and at most: all of them lose it at one moment,
+/// and together they must ask less than it can answer, or none of them hears of it again.
 const WATCH_GAPS_REFUSED: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
 /// How long discovery may take to answer, and where it refused: who hangs up has made it work for nothing.
 const WATCH_PATIENCE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(3));
