--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -237,6 +237,8 @@
     Silent(#[from] tokio::time::error::Elapsed),
     #[error("answered {0}")]
     Status(StatusCode),
+    #[error("taken on and broken off before its first line")]
+    Unserved,
     #[error("a line cannot be read: {0}")]
     Line(#[from] serde_json::Error),
     #[error("broken off or without end")]
@@ -265,12 +267,12 @@
 }
 
 impl Watch {
-    /// Ends never.
-    pub async fn run(mut self, driver: UnboundedSender<Input>) {
+    /// Begins after some time; ends never.
+    pub async fn run(mut self, first: Duration, driver: UnboundedSender<Input>) {
         let mut down = false;
-        // Another agent may know another list: it is asked for the whole of it first.
-        let mut whole = false;
         let mut agent = self.agent.clone();
+        // Another agent may know another list: it is asked for the whole of it first, and at once.
+        let mut whole = timeout(first, agent.changed()).await.is_ok();
         loop {
             let address = agent.borrow_and_update().clone();
             let result = tokio::select! {
@@ -284,7 +286,9 @@
                 }
             };
             let why = match &result {
-                Err(AgentError::Status(StatusCode::SERVICE_UNAVAILABLE)) => Listing::Refused,
+                Err(AgentError::Status(StatusCode::SERVICE_UNAVAILABLE) | AgentError::Unserved) => {
+                    Listing::Refused
+                }
                 _ => Listing::Failed,
             };
             let reason = result.err().map_or_else(|| "ended".to_owned(), |error| error.to_string());
@@ -328,10 +332,17 @@
         if response.status() != StatusCode::OK {
             return Err(AgentError::Status(response.status()));
         }
-        let _ = driver.send(Input::Watched);
         let mut body = response.into_body();
         let mut buffer = Vec::new();
+        let mut told = false;
         while let Some(part) = timeout(SILENCE, body.frame()).await? {
+            if part.is_err() && !told {
+                return Err(AgentError::Unserved);
+            }
+            if !told {
+                told = true;
+                let _ = driver.send(Input::Watched);
+            }
             if *down {
                 info!(rev = self.rev, "the list is being watched again");
                 *down = false;
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -404,6 +404,11 @@
         self.journal.is_untouched()
     }
 
+    /// After how long to watch the list for the first time.
+    pub fn first_watch(&mut self) -> Duration {
+        self.courier.first_watch()
+    }
+
     /// The version of the list that the courier has.
     pub fn rev(&self) -> u64 {
         self.journal.image.rev
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -196,8 +196,10 @@
     let clients = Clients::new(limits, inputs.clone(), phases.clone(), moving);
     let known = config.known;
     // Clients may come once all that was taken on before has been taken up again.
+    let mut first = Duration::ZERO;
     let mut listener = match begun.map(Begun::into_parts) {
         None => {
+            first = driver.first_watch();
             driver.restore(known.clone());
             bind(&config.listen).await?
         }
@@ -224,7 +226,8 @@
     loop {
         let accepting = tokio::task::spawn_local(clients.clone().serve(listener));
         let watch = Watch { agent: agent.clone(), rev: driver.rev(), again: again.clone() };
-        let watching = tokio::task::spawn_local(watch.run(inputs.clone()));
+        let first = std::mem::take(&mut first);
+        let watching = tokio::task::spawn_local(watch.run(first, inputs.clone()));
         let offer = Offer::new(&socket);
         let next = loop {
             let next = tokio::select! {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -101,9 +101,12 @@
 const REAPED_CHECK_AIMS: f64 = 4.0;
 /// Gap before the watch on the list is tried again where discovery said nothing ...
 const WATCH_GAP: Duration = Duration::from_millis(100);
-/// ... and where it refused, so much for each courier at first and at most: all of them lose it at one moment,
+/// ... and where it refused, so much for each courier at first and at most: they all lose it at one moment,
 /// and together they must ask less than it can answer, or none of them hears of it again.
 const WATCH_GAPS_REFUSED: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
+/// Within so much for each courier it is asked for the first time: what a herd asks for at its start is done
+/// in its turn, long after most of them have given up waiting.
+const WATCH_FIRST: Duration = Duration::from_millis(300);
 /// How long discovery may take to answer, and where it refused: who hangs up has made it work for nothing.
 const WATCH_PATIENCE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(3));
 /// While operators empty the courier, clients that have not yet heard of it are served for so long.
@@ -137,7 +140,7 @@
     reaping: Reaping,
     /// After a restart no order key is used before this: any of them may have had a call out.
     keys_rest: Time,
-    /// Tries to watch the list that were refused since the last one that was not, and when the next one is due.
+    /// Tries to watch the list that were refused since the last that was not, and when the next is due.
     refused: u32,
     watch_at: Option<Time>,
     /// When this courier ends, if that is known.
@@ -230,6 +233,11 @@
         self.lame_since.is_none_or(|since| now - since < LAME_GRACE)
     }
 
+    /// After how long to watch the list for the first time: couriers that start together spread.
+    pub fn first_watch(&mut self) -> Duration {
+        WATCH_FIRST.mul_f64(couriers(&self.settings) * self.rng.f64())
+    }
+
     /// How long to wait for an answer of discovery.
     pub fn watch_patience(&self) -> Duration {
         if self.refused > 0 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -719,6 +719,15 @@
     let (few, many) = (tries(3, Listing::Refused, span), tries(48, Listing::Refused, span));
     assert!((100..=300).contains(&few) && (5..=25).contains(&many), "{few} and {many}");
     assert!(tries(3, Listing::Failed, Duration::from_secs(1)) >= 8);
+    // The first tries of a herd are spread too, so that all of them are served in their turn.
+    let first = |couriers: u32, seed: u64| {
+        Courier::new(Settings { couriers, ..settings(vec![safe()]) }, seed).first_watch()
+    };
+    let mut herd: Vec<Duration> = (0..48).map(|seed| first(48, seed)).collect();
+    herd.sort();
+    let densest = herd.windows(8).map(|some| some[7] - some[0]).min();
+    assert!(densest >= Some(ms(250)) && herd[47] < Duration::from_secs(15), "{herd:?}");
+    assert!(first(3, 1) < Duration::from_secs(1));
     // One that succeeds makes the next gap short again, and patience is for those that were refused.
     let mut bench = Bench::new(Settings { couriers: 3, ..settings(vec![safe()]) }, vec![endpoint(11, 3)]);
     let patience = bench.courier.watch_patience();
