--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
-use tokio::time::{interval, sleep_until, timeout, Instant};
+use tokio::time::{interval, sleep_until, timeout, timeout_at, Instant};
 use tracing::{error, info, warn};
 
 use crate::admin::{Done, Operation};
@@ -84,6 +84,14 @@
     sent: bool,
 }
 
+/// What binds a process that does not share the module's memory.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Rules {
+    /// Waits that were told, by the uids of endpoints.
+    waits: Vec<(String, Duration)>,
+    lame: bool,
+}
+
 impl Baton {
     /// The messages of each call that stays out, and where it went.
     pub fn away(&self) -> impl Iterator<Item = (EndpointId, Vec<MessageId>)> + '_ {
@@ -346,6 +354,47 @@
         bytes
     }
 
+    /// What the journal does not hold, in words that any process understands.
+    pub fn rules(&self) -> Rules {
+        let wait = |(id, wait): (EndpointId, Duration)| Some((self.directory.uid(id)?.to_owned(), wait));
+        Rules {
+            waits: self.courier.waits(self.clock.now()).filter_map(wait).collect(),
+            lame: self.courier.is_lame(),
+        }
+    }
+
+    /// Goes on where another process stopped whose memory means nothing to this one: by the journal, which has
+    /// been replayed, and by the rules. It has no calls out any more.
+    pub fn obey(&mut self, rules: Rules) {
+        let now = self.clock.now();
+        for (uid, wait) in rules.waits {
+            if let Some(endpoint) = self.directory.number(&uid) {
+                self.courier.handle(now, Event::ToldWait { endpoint, wait });
+            }
+        }
+        self.stand(if rules.lame { Phase::LameDuck } else { Phase::Serving });
+    }
+
+    /// Begins no more calls.
+    pub fn begin_nothing(&mut self) {
+        let now = self.clock.now();
+        self.courier.handle(now, Event::Closing(now));
+    }
+
+    pub fn has_calls(&self) -> bool {
+        !self.out.is_empty()
+    }
+
+    /// Ends the calls that are out, and takes in what comes until all have ended.
+    pub async fn end_calls(&mut self, events: &mut UnboundedReceiver<Input>) {
+        self.abandon();
+        let end = Instant::now() + GIVING_UP;
+        while self.has_calls() {
+            let Ok(Some(input)) = timeout_at(end, events.recv()).await else { return };
+            self.handle(input);
+        }
+    }
+
     /// Takes in what has come, without deciding anything.
     pub fn drain(&mut self, events: &mut UnboundedReceiver<Input>) {
         while let Ok(input) = events.try_recv() {
@@ -361,14 +410,17 @@
         }
     }
 
-    /// Gives up all calls, and waits until they have been let go of.
+    /// Gives up all calls, and waits until they have been let go of. The journal is another process's.
     pub async fn give_up(&self, events: &mut UnboundedReceiver<Input>) {
         self.abandon();
         let mut out = self.messages_out();
         let all = async {
             while !out.is_empty() {
-                if let Some(Input::Ended(_, messages, _)) = events.recv().await {
-                    out.retain(|message| !messages.contains(message));
+                match events.recv().await {
+                    Some(Input::Ended(_, messages, _)) => out.retain(|message| !messages.contains(message)),
+                    Some(Input::Enqueue(_, reply)) => drop(reply.send(Answer::Busy(None))),
+                    Some(_) => {}
+                    None => return,
                 }
             }
         };
@@ -377,7 +429,9 @@
 
     /// Stands to its clients as it did before.
     pub fn stand(&mut self, phase: Phase) {
-        self.courier.handle(self.clock.now(), Event::LameDuck(phase == Phase::LameDuck));
+        let now = self.clock.now();
+        self.courier.handle(now, Event::LameDuck(phase == Phase::LameDuck));
+        self.courier.handle(now, Event::Closing(Time(u64::MAX)));
         self.phase.send_replace(phase);
     }
 
--- a/src/bin/gullcart/handover.rs
+++ b/src/bin/gullcart/handover.rs
@@ -26,15 +26,18 @@
 use crate::admin::{Done, Operation};
 use crate::calls::{CallEnded, Ended, Stop};
 use crate::clients::{Answer, Clients, Moved};
-use crate::driver::{Baton, Driver, Input};
+use crate::driver::{Baton, Driver, Input, Rules};
 
 /// To be raised with every change to what goes over the socket.
 const FORMAT: u32 = 1;
-/// What the module's memory looks like is said by these; it is read only by a process built from the same.
+/// What the module's memory looks like is said by these; it is passed on only to a process built from the same.
 const MEMORY: [&str; 3] =
     [include_str!("../../choice.rs"), include_str!("../../books.rs"), include_str!("../../interface.rs")];
 /// The other process is on this machine: what it does not say in this time it will not say.
 const ANSWER: Duration = Duration::from_secs(1);
+/// Calls may take so long to end before a hand-over to a process that cannot go on with them; its yes is due
+/// within 6 s.
+pub const FINISH: Duration = Duration::from_millis(2500);
 /// Between tries to become the owner.
 const AGAIN: Duration = Duration::from_millis(20);
 /// From the end of a process until its calls are taken for broken: all its connections are closed by then.
@@ -50,8 +53,8 @@
 /// What the new process says.
 #[derive(Serialize, Deserialize)]
 enum ToOld {
-    /// It wants the courier, and speaks this format.
-    Hello(u32),
+    /// It wants the courier, speaks this format, and has this kind of memory.
+    Hello(u32, u32),
     /// A call is to be ended, named by one of its messages.
     Stop(MessageId, Stop),
     /// What became of a call of the operators.
@@ -62,8 +65,9 @@
 #[derive(Serialize, Deserialize)]
 enum ToNew {
     No,
-    /// The courier is yours: its memory, and as descriptors the listener and the lock.
-    Begin(Vec<u8>),
+    /// The courier is yours: its memory if you share it, the rules if not, and as descriptors the listener and
+    /// the lock.
+    Begin(Result<Vec<u8>, Rules>),
     /// A client's connection, as a descriptor.
     Client {
         buffer: Bytes,
@@ -77,10 +81,11 @@
     Operate(u64, Operation),
 }
 
-/// Both processes must mean the same by each number of a class, a tenant, a kind and a zone.
-pub fn format(parsed: &Parsed) -> u32 {
+/// The kind of memory that a process has: both must mean the same by each number of a class, a tenant, a kind and
+/// a zone.
+pub fn memory(parsed: &Parsed) -> u32 {
     let names = (&parsed.class_names, &parsed.tenant_names, &parsed.kind_names, &parsed.zone_names);
-    crc32fast::hash(format!("{FORMAT} {MEMORY:?} {names:?}").as_bytes())
+    crc32fast::hash(format!("{MEMORY:?} {names:?}").as_bytes())
 }
 
 /// The file whose lock the owner of a folder holds.
@@ -212,10 +217,11 @@
 
 /// What the old process gave.
 pub struct Begun {
-    pub baton: Baton,
+    /// Its memory, or the rules alone where this process has another kind.
+    pub memory: Result<Baton, Rules>,
     pub listener: TcpListener,
     pub lock: File,
-    old: Old,
+    pub old: Old,
 }
 
 /// The process that had the courier before, as long as it has calls out for it.
@@ -227,7 +233,7 @@
 }
 
 /// Becomes the owner of the folder: at once if nobody is, else as soon as the owner hands it over or ends.
-pub async fn own(lock: &File, socket: &Path, format: u32) -> io::Result<Option<Begun>> {
+pub async fn own(lock: &File, socket: &Path, memory: u32) -> io::Result<Option<Begun>> {
     let mut waiting = false;
     loop {
         match lock.try_lock() {
@@ -235,8 +241,12 @@
             Err(TryLockError::WouldBlock) => {}
             Err(TryLockError::Error(error)) => return Err(error),
         }
-        match ask(socket, format).await {
-            Ok(begun) => return Ok(Some(begun)),
+        match ask(socket, memory).await {
+            Ok((Some((memory, descriptors)), reader, writer)) => {
+                // What fails from here on fails again: the owner sees this process end, and goes on.
+                return begin(memory, descriptors, reader, writer).map(Some);
+            }
+            Ok(_) => {}
             Err(error) if !waiting => {
                 info!(%error, "another process has the courier, and does not hand it over yet");
                 waiting = true;
@@ -247,31 +257,38 @@
     }
 }
 
-async fn ask(socket: &Path, format: u32) -> io::Result<Begun> {
+type Asked = Option<(Result<Vec<u8>, Rules>, Vec<OwnedFd>)>;
+
+async fn ask(socket: &Path, memory: u32) -> io::Result<(Asked, Reader, Writer)> {
     let stream = Rc::new(UnixStream::connect(socket).await?);
     let (mut reader, writer) = (Reader::new(stream.clone()), Writer::new(stream));
-    say(&writer.frames, &ToOld::Hello(format), Vec::new());
-    let (memory, descriptors) = match timeout(ANSWER, reader.next()).await? {
-        Some((ToNew::Begin(memory), descriptors)) => (memory, descriptors),
-        Some(_) => return Err(io::Error::other("refused")),
-        None => return Err(io::ErrorKind::UnexpectedEof.into()),
-    };
+    say(&writer.frames, &ToOld::Hello(FORMAT, memory), Vec::new());
+    match timeout(FINISH + ANSWER, reader.next()).await? {
+        Some((ToNew::Begin(memory), descriptors)) => Ok((Some((memory, descriptors)), reader, writer)),
+        Some(_) => Err(io::Error::other("refused")),
+        None => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+fn begin(
+    memory: Result<Vec<u8>, Rules>,
+    descriptors: Vec<OwnedFd>,
+    reader: Reader,
+    writer: Writer,
+) -> io::Result<Begun> {
     let mut descriptors = descriptors.into_iter();
     let (Some(listener), Some(lock)) = (descriptors.next(), descriptors.next()) else {
         return Err(io::Error::other("descriptors are missing"));
     };
-    let baton: Baton = postcard::from_bytes(&memory).map_err(io::Error::other)?;
-    let away = baton.away().flat_map(|(to, messages)| messages.into_iter().map(move |m| (m, to)));
-    let away = Rc::new(RefCell::new(away.collect()));
+    let memory = match memory {
+        Ok(bytes) => Ok(postcard::from_bytes::<Baton>(&bytes).map_err(io::Error::other)?),
+        Err(rules) => Err(rules),
+    };
+    let away = memory.iter().flat_map(Baton::away);
+    let away = away.flat_map(|(to, messages)| messages.into_iter().map(move |m| (m, to))).collect();
     let listener = TcpListener::from_std(listener.into())?;
-    Ok(Begun { baton, listener, lock: lock.into(), old: Old { reader, writer, away } })
-}
-
-impl Begun {
-    /// The courier's memory, the listener, the lock, and the old process.
-    pub fn into_parts(self) -> (Baton, TcpListener, File, Old) {
-        (self.baton, self.listener, self.lock, self.old)
-    }
+    let old = Old { reader, writer, away: Rc::new(RefCell::new(away)) };
+    Ok(Begun { memory, listener, lock: lock.into(), old })
 }
 
 impl Old {
@@ -331,6 +348,8 @@
 
 /// Another process that wants the courier.
 pub struct Next {
+    /// It can go on with the module's memory, and with calls that are out here.
+    pub shares_memory: bool,
     reader: Reader,
     writer: Writer,
 }
@@ -356,8 +375,8 @@
         Offer(listen().inspect_err(|error| warn!(%error, ?path, "no hand-over is possible")).ok())
     }
 
-    /// Waits for a process that wants the courier and understands its memory.
-    pub async fn asked(&self, format: u32) -> Next {
+    /// Waits for a process that wants the courier.
+    pub async fn asked(&self, memory: u32) -> Next {
         let Some(listener) = &self.0 else { return std::future::pending().await };
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -365,12 +384,14 @@
                 continue;
             };
             let stream = Rc::new(stream);
-            let mut next = Next { reader: Reader::new(stream.clone()), writer: Writer::new(stream) };
-            match timeout(ANSWER, next.reader.next()).await {
-                Ok(Some((ToOld::Hello(other), _))) if other == format => return next,
+            let (mut reader, writer) = (Reader::new(stream.clone()), Writer::new(stream));
+            match timeout(ANSWER, reader.next()).await {
+                Ok(Some((ToOld::Hello(FORMAT, other), _))) => {
+                    return Next { shares_memory: other == memory, reader, writer };
+                }
                 Ok(Some(_)) => {
-                    warn!("another process wants the courier and would not understand its memory");
-                    next.refuse().await;
+                    warn!("another process wants the courier, in words that this one does not know");
+                    Next { shares_memory: false, reader, writer }.refuse().await;
                 }
                 Ok(None) | Err(_) => {}
             }
@@ -396,10 +417,14 @@
     ) -> Given {
         let descriptors =
             || Ok::<_, io::Error>(vec![listener.as_fd().try_clone_to_owned()?, lock.try_clone()?.into()]);
-        let begun = driver.baton().map_err(io::Error::other).and_then(|baton| Ok((baton, descriptors()?)));
+        let memory = match self.shares_memory {
+            true => driver.baton().map(Ok).map_err(io::Error::other),
+            false => Ok(Err(driver.rules())),
+        };
+        let begun = memory.and_then(|memory| Ok((memory, descriptors()?)));
         let frames = self.writer.frames.clone();
         match begun {
-            Ok((baton, descriptors)) => say(&frames, &ToNew::Begin(baton), descriptors),
+            Ok((memory, descriptors)) => say(&frames, &ToNew::Begin(memory), descriptors),
             Err(error) => {
                 warn!(%error, "the courier cannot be handed over");
                 return Given::Back(Vec::new());
@@ -430,9 +455,13 @@
                             let _ = answer.send(done);
                         }
                     }
-                    Some((ToOld::Hello(_), _)) => {}
+                    Some((ToOld::Hello(..), _)) => {}
                     None if end.is_some() => return Given::Over,
-                    None => return Given::Back(kept),
+                    None => {
+                        // All of its connections are closed by then.
+                        sleep(GONE).await;
+                        return Given::Back(kept);
+                    }
                 },
                 Some(Moved { stream, buffer, served, left }) = moved.recv() => {
                     match stream.into_std() {
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -23,7 +23,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::LocalSet;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout, Instant};
 use tracing::{error, info, warn};
 
 use crate::admin::Door;
@@ -44,6 +44,9 @@
 /// wait 400 ms for an answer; who takes longer does not read.
 const SETTLE: Duration = Duration::from_millis(100);
 
+/// How often it is looked whether the last call has ended.
+const LOOK: Duration = Duration::from_millis(20);
+
 #[derive(Deserialize)]
 struct Config {
     name: String,
@@ -167,9 +170,9 @@
 
     // No record is touched before the folder is this process's own.
     let (mut lock, socket) = (handover::lock_file(&state)?, handover::socket_path(&state));
-    let format = handover::format(&parsed);
+    let memory = handover::memory(&parsed);
     let begun = tokio::select! {
-        begun = handover::own(&lock, &socket, format) => begun?,
+        begun = handover::own(&lock, &socket, memory) => begun?,
         _ = terminate.recv() => return Ok(()),
     };
 
@@ -197,15 +200,21 @@
     let known = config.known;
     // Clients may come once all that was taken on before has been taken up again.
     let mut first = Duration::ZERO;
-    let mut listener = match begun.map(Begun::into_parts) {
+    let mut listener = match begun {
         None => {
             first = driver.first_watch();
             driver.restore(known.clone());
             bind(&config.listen).await?
         }
-        Some((baton, listener, held, old)) => {
+        Some(Begun { memory, listener, lock: held, old }) => {
             lock = held;
-            driver.resume(baton, old.stop());
+            match memory {
+                Ok(baton) => driver.resume(baton, old.stop()),
+                Err(rules) => {
+                    driver.restore(known.clone());
+                    driver.obey(rules);
+                }
+            }
             tokio::task::spawn_local(old.follow(inputs.clone(), clients.clone()));
             listener
         }
@@ -232,13 +241,24 @@
         let next = loop {
             let next = tokio::select! {
                 () = driver.run(&mut events) => return Ok(()),
-                next = offer.asked(format) => next,
+                next = offer.asked(memory) => next,
             };
             if *phase.borrow() != Phase::Closing {
                 break next;
             }
             next.refuse().await;
         };
+        if !next.shares_memory {
+            info!("calls end before the hand-over: the other process cannot go on with them");
+            driver.begin_nothing();
+            let end = Instant::now() + handover::FINISH;
+            while driver.has_calls() && Instant::now() < end {
+                tokio::select! {
+                    () = driver.run(&mut events) => return Ok(()),
+                    () = sleep(LOOK) => {}
+                }
+            }
+        }
         // Whoever can moves on; what is being answered is answered first.
         let before = phase.send_replace(Phase::Moving);
         watching.abort();
@@ -255,6 +275,9 @@
         };
         listener = returned.map_err(std::io::Error::other)?;
         driver.drain(&mut events);
+        if !next.shares_memory {
+            driver.end_calls(&mut events).await;
+        }
         match next.give(&mut driver, &mut events, &mut moved, &listener, &lock).await {
             Given::Over => return Ok(()),
             Given::Back(kept) => {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -171,6 +171,12 @@
         Courier { settings: fresh.settings, rng: fresh.rng, closing: None, ..self }
     }
 
+    /// The waits that were told and are not over, by one endpoint of each route.
+    pub fn waits(&self, now: Time) -> impl Iterator<Item = (EndpointId, Duration)> + '_ {
+        let waiting = self.routes.values().filter(move |route| route.told_wait > now);
+        waiting.filter_map(move |route| Some((*route.endpoints.first()?, route.told_wait - now)))
+    }
+
     /// Whether operators are emptying it.
     pub fn is_lame(&self) -> bool {
         self.lame_since.is_some()
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -193,27 +193,53 @@
     world.nothing();
 }
 
-/// A process that would not understand the memory touches nothing and waits until the old one has ended.
+/// A process with another kind of memory goes on by the journal: calls end first, clients, waits and bans go over.
 #[test]
-fn a_process_of_other_settings_waits_for_the_end() {
-    let world = World::patient(1, 3.0);
+fn a_process_of_another_build_goes_on_by_the_journal() {
+    let mut world = World::patient(3, 3.0);
+    world.apart = true;
     let mut old = world.start();
     let mut client = old.client();
+    assert_eq!(client.enqueue("w1", "0", "salary", 2, b"x"), "+OK");
+    world.call().answer("429 Too Many Requests", "X-Come-Back-Ms: 500000\r\n");
+    old.log_until("told to wait");
+    assert_eq!(old.operate("POST /_endpoints/detach?id=s-2"), 200);
     assert_eq!(client.enqueue("k1", "9", "notice,k=a", 1, b"1"), "+OK");
     let out = world.call();
     world.zone.set("elsewhere");
     let new = world.start_beside();
-    new.log_until("does not hand it over yet");
-    assert_eq!(new.operate("GET /_ready"), 503);
-    assert_eq!(new.operate("POST /_endpoints/detach?id=s-0"), 503);
+    old.log_until("calls end before the hand-over");
+    // It takes messages on as ever, and begins nothing.
     assert_eq!(client.enqueue("k2", "9", "notice,k=b", 1, b"2"), "+OK");
+    assert_eq!(client.enqueue("u3", "0", "salary", 3, b"3"), "+OK");
+    assert_eq!(client.enqueue("w2", "0", "salary", 2, b"x"), "+OK");
     out.answer("200 OK", "");
+    let new = new.listening();
+    assert_eq!((new.operate("GET /_ready"), old.operate("GET /_ready")), (200, 503));
+    old.terminate();
+    assert!(old.wait(SOON).success());
     let second = world.call();
     assert_eq!(second.id, "k2");
     second.answer("200 OK", "");
-    old.terminate();
-    assert!(old.wait(SOON).success());
-    let new = new.listening();
-    assert_eq!(new.operate("GET /_ready"), 200);
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+    world.no_call();
+    assert_eq!(new.operate("POST /_endpoints/attach?id=s-2"), 200);
+    let third = world.call();
+    assert_eq!(third.id, "u3");
+    third.answer("200 OK", "");
+    world.nothing();
+}
+
+/// A call that takes too long to end is given up before the other process goes on.
+#[test]
+fn a_hanging_call_does_not_keep_another_build_waiting() {
+    let world = World::patient(1, 3.0);
+    let old = world.start();
+    assert_eq!(old.client().enqueue("u1", "0", "salary", 1, b"x"), "+OK");
+    let out = world.call();
+    world.zone.set("elsewhere");
+    let new = world.start();
+    assert!(out.is_closed());
+    assert_eq!(world.notice(), r#"{"id":"u1","state":"failed"}"#);
     assert_eq!(new.client().ask(&["PING"]), "+PONG");
 }
