--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -13,6 +13,7 @@
 use cloverstile::{parse_settings_json, Parsed, SettingError, Settings};
 use serde::Deserialize;
 use std::ffi::OsString;
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -44,8 +45,10 @@
 /// wait 400 ms for an answer; who takes longer does not read.
 const SETTLE: Duration = Duration::from_millis(100);
 
-/// How often it is looked whether the last call has ended.
+/// How often it is looked whether the last call has ended, or an address is free.
 const LOOK: Duration = Duration::from_millis(20);
+/// How long an address may stay in use.
+const TAKEN: Duration = Duration::from_secs(5);
 
 #[derive(Deserialize)]
 struct Config {
@@ -124,8 +127,39 @@
     }
 }
 
+/// Listens at an address. A process that has just ended may hold it for a moment longer than the lock.
 async fn bind(address: &str) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|error| StartError::Listen(address.to_owned(), error))
+    let end = Instant::now() + TAKEN;
+    let mut taken = false;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < end => {
+                if !taken {
+                    warn!(address, "the address is still in use");
+                    taken = true;
+                }
+                sleep(LOOK).await;
+            }
+            bound => return bound.map_err(|error| StartError::Listen(address.to_owned(), error)),
+        }
+    }
+}
+
+/// Opens the operators' door as soon as its address can be had: a courier without one serves all the same.
+async fn open_door(address: String, door: Rc<Door>) {
+    loop {
+        match bind(&address).await {
+            Ok(listener) => {
+                match listener.local_addr() {
+                    Ok(address) => info!(%address, "operators may call"),
+                    Err(error) => warn!(%error, "operators may call at an address that cannot be told"),
+                }
+                admin::serve(listener, door.clone()).await;
+            }
+            Err(error) => error!(%error, "operators cannot call"),
+        }
+        sleep(TAKEN).await;
+    }
 }
 
 /// What a driver is made of that the journal and the list do not tell.
@@ -156,9 +190,7 @@
     let admin = std::env::var("BALANCER_ADMIN_ADDR").ok().or(config.admin_addr).filter(|at| !at.is_empty());
     let door = Rc::new(Door::default());
     if let Some(admin) = admin {
-        let listener = bind(&admin).await?;
-        info!(address = %listener.local_addr()?, "operators may call");
-        tokio::task::spawn_local(admin::serve(listener, door.clone()));
+        tokio::task::spawn_local(open_door(admin, door.clone()));
     }
     let parsed = parse_settings_json(&config.settings)?;
     let slots = parsed.settings.call_slots;
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use std::net::TcpListener;
 use std::time::Duration;
 use world::*;
 
@@ -248,3 +249,18 @@
     assert_eq!(world.notice(), r#"{"id":"u1","state":"failed"}"#);
     assert_eq!(new.client().ask(&["PING"]), "+PONG");
 }
+
+/// The owner's lock may be free a moment before its address is: the next one waits for it.
+#[test]
+fn an_address_that_is_still_in_use_is_waited_for() {
+    let world = World::new(1, 3.0);
+    let before = TcpListener::bind("127.0.0.1:0").unwrap();
+    world.listen.set(before.local_addr().unwrap());
+    let courier = world.start_beside();
+    courier.log_until("the address is still in use");
+    assert_eq!(courier.operate("GET /_ready"), 503);
+    drop(before);
+    let courier = courier.listening();
+    assert_eq!(courier.client().ask(&["PING"]), "+PONG");
+    assert_eq!(courier.operate("GET /_ready"), 200);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -248,6 +248,8 @@
     pub apart: bool,
     /// Names of the settings: a process with others does not understand one's memory.
     pub zone: Cell<&'static str>,
+    /// Where clients connect; the system chooses if nothing is told.
+    pub listen: Cell<SocketAddr>,
     disk_mb: f64,
     _cleanup: Cleanup,
 }
@@ -294,6 +296,7 @@
             sockets: 1024,
             apart: false,
             zone: Cell::new("kingston"),
+            listen: Cell::new(([127, 0, 0, 1], 0).into()),
             disk_mb,
         }
     }
@@ -392,7 +395,7 @@
             class(self.aim, "salary", "non_idempotent", 0, false),
         ];
         let config = json!({
-            "name": "n0", "listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0", "discovery": agent.address.to_string(), "seed": "7",
+            "name": "n0", "listen": self.listen.get().to_string(), "admin_addr": "127.0.0.1:0", "discovery": agent.address.to_string(), "seed": "7",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": {"rev": 1, "all": true, "targets": targets},
             "settings": {
