--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -17,17 +17,19 @@
     assert_eq!(idle.ask(&["PING"]), "+PONG");
     for round in 0..3 {
         let id = |name: &str| format!("{name}{round}");
-        half.send(b"*1\r\n$4\r\nPI");
         // Two of one order key: the second waits for the first, which is out while the processes change.
         assert_eq!(idle.enqueue(&id("first"), "9", "notice,k=a", 1, b"1"), "+OK");
         let out = world.call();
+        // Clients are let go after 2 s between two requests, and after 1 s within one: nothing slow comes between.
+        assert_eq!(half.ask(&["PING"]), "+PONG");
         assert_eq!(idle.enqueue(&id("second"), "9", "notice,k=b", 1, b"2"), "+OK");
+        half.send(b"*1\r\n$4\r\nPI");
         let new = world.start();
-        assert_eq!((new.operate("GET /_ready"), old.operate("GET /_ready")), (200, 503));
-        old.terminate();
         half.send(b"NG\r\n");
         assert_eq!(half.line(), "+PONG");
         assert_eq!(idle.enqueue(&id("third"), "0", "salary", 1, b"3"), "+OK");
+        assert_eq!((new.operate("GET /_ready"), old.operate("GET /_ready")), (200, 503));
+        old.terminate();
         let third = world.call();
         assert_eq!(third.id, id("third"));
         third.answer("200 OK", "");
@@ -39,6 +41,7 @@
         second.answer("200 OK", "");
         assert!(old.wait(SOON).success());
         old = new;
+        (idle, half) = (old.client(), old.client());
     }
     world.nothing();
 }
