Send no repeat whose connection comes up after its window has passed

Ruled out: the margin (the other 775 repeats left by 5.783 s), a restart and a second hand-in (there was none), an outcome wrongly held to be "never ran" (it was a time-out).

To blame: `sendable_at` looks at the window when a call is decided; `Pool::call` then connects for up to 1.5 s and sends.

Now a route says within which time it may leave, and a call that has not connected by then is not sent.

--- a/src/bin/cloverstile-wirehost/host.rs
+++ b/src/bin/cloverstile-wirehost/host.rs
@@ -177,7 +177,7 @@
 /// A time-out of zero means none on the wire, so the shortest one is a nanosecond.
 fn reply(who: u16, action: Action) -> Reply {
     match action {
-        Action::Route { message, endpoint, try_for } => {
+        Action::Route { message, endpoint, try_for, .. } => {
             Reply::Route { who, call: message.0, endpoint: endpoint.0, try_for: nanos(try_for).max(1) }
         }
         Action::Busy { message, after } => Reply::Busy { who, call: message.0, stay_away: nanos(after) },
--- a/src/bin/gullcart/calls.rs
+++ b/src/bin/gullcart/calls.rs
@@ -69,6 +69,8 @@
     pub address: SocketAddr,
     pub loads: Vec<Load>,
     pub try_for: Duration,
+    /// Its first byte leaves within this time, or it is not sent.
+    pub leave_within: Option<Duration>,
 }
 
 /// Why a call is stopped.
@@ -143,6 +145,7 @@
     most_idle: Cell<usize>,
     used: RefCell<Used>,
     resets: RefCell<Seldom>,
+    too_late: RefCell<Seldom>,
 }
 
 impl Pool {
@@ -158,6 +161,7 @@
             most_idle: Cell::new(most_idle),
             used: RefCell::default(),
             resets: RefCell::default(),
+            too_late: RefCell::default(),
         }
     }
 
@@ -286,6 +290,7 @@
     ) -> CallEnded {
         let start = Instant::now();
         let end = start + call.try_for;
+        let last_start = call.leave_within.map(|within| start + within);
         let count = call.loads.len();
         let all = |ended: Ended| CallEnded { each: vec![ended; count], wait: None };
         let ended = |outcome| {
@@ -301,6 +306,12 @@
             let (mut connection, fresh) = tokio::select! {
                 biased;
                 reason = &mut stop => return ended(never_sent(reason.ok())),
+                () = sleep_until(last_start.unwrap_or(end)), if last_start.is_some() => {
+                    if let Some(more) = self.too_late.borrow_mut().due() {
+                        info!(endpoint = call.endpoint.0, after = ?start.elapsed(), more, "a repeat took too long to connect");
+                    }
+                    return ended(Outcome::Moot);
+                }
                 ready = self.connection(&call, until) => match ready {
                     Ok(ready) => ready,
                     Err(outcome) => return ended(outcome),
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -916,9 +916,9 @@
     fn route(&mut self, now: Time, endpoint: EndpointId, routes: &[Action]) {
         let address = self.directory.address(endpoint);
         let zone = self.directory.zone(endpoint).0;
-        let (mut carried, mut size) = (Vec::new(), 0);
+        let (mut carried, mut size, mut within) = (Vec::new(), 0, None);
         for route in routes {
-            let Action::Route { message, try_for, .. } = *route else { continue };
+            let Action::Route { message, try_for, leave_within, .. } = *route else { continue };
             let load = self.journal.image.held.get(&message.0).map(|held| Load {
                 id: held.taken.id.clone(),
                 idempotency_key: held.taken.idempotency_key.clone(),
@@ -933,14 +933,15 @@
                 continue;
             };
             if size + load.batched_size() > LONGEST_BODY && !carried.is_empty() {
-                self.call(endpoint, address, std::mem::take(&mut carried));
+                self.call(endpoint, address, std::mem::take(&mut carried), within.take());
                 size = 0;
             }
             size += load.batched_size();
+            within = [within, leave_within].into_iter().flatten().min();
             carried.push((message, load, try_for));
         }
         if let Some(address) = address.filter(|_| !carried.is_empty()) {
-            self.call(endpoint, address, carried);
+            self.call(endpoint, address, carried, within);
         }
     }
 
@@ -957,7 +958,13 @@
         self.out.insert(message, Out { endpoint, call: call.clone(), attempt });
     }
 
-    fn call(&mut self, endpoint: EndpointId, address: SocketAddr, carried: Vec<(MessageId, Load, Duration)>) {
+    fn call(
+        &mut self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        carried: Vec<(MessageId, Load, Duration)>,
+        leave_within: Option<Duration>,
+    ) {
         let (stop, stopped) = oneshot::channel();
         let sent = Rc::new(Cell::new(false));
         let out = Rc::new(CallOut { stop: Cell::new(Some(stop)), sent: sent.clone(), _elsewhere: None });
@@ -970,7 +977,7 @@
             loads.push(load);
         }
         self.counts.calls += 1;
-        let call = Call { endpoint, address, loads, try_for };
+        let call = Call { endpoint, address, loads, try_for, leave_within };
         let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let ended = pool.call(call, stopped, sent).await;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -965,10 +965,12 @@
         let mut next = Some(first);
         while let Some(message) = next {
             let try_for = self.time_out(now, id, message);
+            let last = self.messages.get(&message).and_then(|m| self.last_send(m));
+            let leave_within = last.map(|end| end - now);
             if let Some(m) = self.messages.get_mut(&message) {
                 m.attempts += 1;
                 m.out = Some(self.last_call);
-                self.actions.push(Action::Route { message, endpoint: to, try_for });
+                self.actions.push(Action::Route { message, endpoint: to, try_for, leave_within });
             }
             carried.push(message);
             next = if carried.len() == room { None } else { self.pick(now, id, &mut None).map(|(m, _)| m) };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -100,7 +100,7 @@
 
     pub fn routes(&mut self) -> Vec<Sent> {
         let routed = |action: &Action| match action {
-            Action::Route { message, endpoint, try_for } => Some((message.0, endpoint.0, *try_for)),
+            Action::Route { message, endpoint, try_for, .. } => Some((message.0, endpoint.0, *try_for)),
             _ => None,
         };
         self.decide().iter().filter_map(routed).collect()
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -462,6 +462,31 @@
     }
 }
 
+/// A repeat whose connection comes up only after its window has passed must not go out on it: fleet day
+/// split+mass, 691518538276, where a connection took 1.0 s and the repeat left at 6.430 s of 6.43 s.
+#[test]
+fn a_repeat_still_connecting_at_the_end_of_its_window_is_not_sent() {
+    let mut world = World::new(2, 3.0);
+    let hanging = world.hang_connections(0);
+    let courier = world.start();
+    let mut client = courier.client();
+    // One goes to each endpoint; the repeat of the failed one goes where nothing has failed yet.
+    for id in ["w1", "w2"] {
+        assert_eq!(client.enqueue(id, &id[1..], "brief,k=w", 1, b"x"), "+OK");
+    }
+    let failed = world.call();
+    assert_eq!(failed.endpoint, 1);
+    let (id, sent) = (failed.id.clone(), Instant::now());
+    failed.answer("500 No", "");
+    assert_eq!(world.notice(), format!(r#"{{"id":"{id}","state":"failed"}}"#));
+    assert!(sent.elapsed() < Duration::from_secs(4), "its connection was waited for: {:?}", sent.elapsed());
+    world.release(hanging);
+    let other = world.call();
+    assert_ne!(other.id, id, "it left after its window");
+    other.answer("200 OK", "");
+    world.nothing();
+}
+
 /// Connections are kept at each endpoint, also where there are more endpoints than call slots: with no more idle
 /// ones than slots, each call put out a connection that the next but one needed again (286 connections where 223
 /// do, on a day of 27 endpoints).
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -76,6 +76,25 @@
     assert!(repeats < bench.settings.send_cap);
 }
 
+/// A connection may take long to come up: the window is told with each repeat, and with nothing else.
+#[test]
+fn a_repeat_tells_until_when_it_may_leave() {
+    let within = |actions: &[Action]| match actions {
+        [Action::Route { leave_within, .. }, ..] => *leave_within,
+        other => panic!("{other:?}"),
+    };
+    let mut bench = one(keyed());
+    bench.accept(1, 0, 1, None);
+    let sent = bench.now;
+    assert_eq!(within(&bench.decide()), None);
+    bench.now = bench.now + ms(50);
+    bench.finish(1, 7, Outcome::Reset, ms(50));
+    let repeat = bench.until_action(Duration::from_secs(10));
+    let last = bench.now + within(&repeat).expect("a repeat is bound to its window");
+    let window = bench.settings.classes[0].repeat_window;
+    assert!(last < sent + window && last > sent + window / 2, "{:?}", last - sent);
+}
+
 #[test]
 fn a_keyed_message_stays_in_the_zone_that_drops_its_repeats() {
     let mut other = endpoint(8, 1);
