Give discovery 3 s to answer the first watch too, instead of 0.5 s

Ruled out: that so many cannot be served at all.

To blame: `WATCH_PATIENCE`, which gave 3 s only to those that had been refused before, and `ANSWER` in main.rs for the first try of all. The patience is one figure now, and the channel that tells to watch carries none.

--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -1,7 +1,9 @@
 //! The list of endpoints, the watch on it, and the notices that end messages.
 
 use bytes::Bytes;
-use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, Listing, MessageId, Mode, Parsed, ZoneId};
+use cloverstile::{
+    DestinationId, Endpoint, EndpointId, KindId, Listing, MessageId, Mode, Parsed, ZoneId, WATCH_PATIENCE,
+};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -23,7 +25,7 @@
 use crate::journal::Verdict;
 
 /// The agent is on this machine: what it does not answer in this time it does not answer now.
-pub const ANSWER: Duration = Duration::from_millis(500);
+const ANSWER: Duration = Duration::from_millis(500);
 /// The watch has an empty line every 2 s; silence for this long is an outage of discovery. What was missed counts
 /// as told after 6 s, so that there is no time for a longer wait.
 const SILENCE: Duration = Duration::from_secs(3);
@@ -262,8 +264,8 @@
 pub struct Watch {
     pub agent: Agent,
     pub rev: u64,
-    /// What breaks is begun anew when the module says so, which says how long an answer may take.
-    pub again: watch::Receiver<Duration>,
+    /// What breaks is begun anew when the module says so.
+    pub again: watch::Receiver<()>,
 }
 
 impl Watch {
@@ -312,11 +314,10 @@
         driver: &UnboundedSender<Input>,
         down: &mut bool,
     ) -> Result<(), AgentError> {
-        let patience = *self.again.borrow();
         let mut connection = connect(agent).await?;
         if *whole {
             let request = Request::get("/v1/endpoints").header("Host", agent).body(Full::default())?;
-            let list = timeout(patience, fetch(&mut connection, request)).await??;
+            let list = timeout(WATCH_PATIENCE, fetch(&mut connection, request)).await??;
             // An agent that has heard less than the one before must not take back a drain.
             if list.rev >= self.rev {
                 self.rev = list.rev;
@@ -328,7 +329,7 @@
         let request = Request::get(format!("/v1/endpoints?watch=1&after={}", self.rev))
             .header("Host", agent)
             .body(Full::default())?;
-        let response = timeout(patience, connection.send_request(request)).await??;
+        let response = timeout(WATCH_PATIENCE, connection.send_request(request)).await??;
         if response.status() != StatusCode::OK {
             return Err(AgentError::Status(response.status()));
         }
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -118,8 +118,8 @@
     /// What happens to this part, also by its own doing.
     pub inputs: UnboundedSender<Input>,
     pub notices: UnboundedSender<Notice>,
-    /// The list is to be watched again, and how long discovery may take to answer.
-    pub watch: watch::Sender<Duration>,
+    /// The list is to be watched again.
+    pub watch: watch::Sender<()>,
     pub phase: watch::Sender<Phase>,
 }
 
@@ -230,7 +230,7 @@
     out: HashMap<MessageId, Out>,
     inputs: UnboundedSender<Input>,
     notices: UnboundedSender<Notice>,
-    watch: watch::Sender<Duration>,
+    watch: watch::Sender<()>,
     phase: watch::Sender<Phase>,
     ends: Option<(Instant, Instant)>,
     wake: Option<(Instant, u64)>,
@@ -906,7 +906,7 @@
             Action::Wake { after, token } => self.wake = Some((self.clock.instant(now + after), token)),
             Action::CloseIdle { endpoint } => self.pool.close(endpoint),
             Action::Log { ref text } => info!("{text}"),
-            Action::KeepInformed { .. } => drop(self.watch.send_replace(self.courier.watch_patience())),
+            Action::KeepInformed { .. } => self.watch.send_replace(()),
             // Routes have gone out as calls. The deployment permits neither probes nor notes.
             Action::Route { .. } | Action::Refresh | Action::Probe { .. } | Action::Tell { .. } => {}
         }
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -211,7 +211,7 @@
     let (inputs, mut events) = mpsc::unbounded_channel();
     let (notices, owed) = mpsc::unbounded_channel();
     let (phase, phases) = watch::channel(Phase::Serving);
-    let (watch, again) = watch::channel(discovery::ANSWER);
+    let (watch, again) = watch::channel(());
     let sockets = Sockets::deal(config.limits.sockets, slots);
     let plan = Plan {
         parsed,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -117,8 +117,8 @@
 /// Within so much for each courier it is asked for the first time: what a herd asks for at its start is done
 /// in its turn, long after most of them have given up waiting.
 const WATCH_FIRST: Duration = Duration::from_millis(100);
-/// How long discovery may take to answer, and where it refused: who hangs up has made it work for nothing.
-const WATCH_PATIENCE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(3));
+/// How long discovery may take to answer: who hangs up has made it work for nothing, and asks once more.
+pub const WATCH_PATIENCE: Duration = Duration::from_secs(3);
 /// While operators empty the courier, clients that have not yet heard of it are served for so long.
 const LAME_GRACE: Duration = Duration::from_secs(3);
 
@@ -254,15 +254,6 @@
         WATCH_FIRST.mul_f64(couriers(&self.settings) * self.rng.f64())
     }
 
-    /// How long to wait for an answer of discovery.
-    pub fn watch_patience(&self) -> Duration {
-        if self.refused > 0 {
-            WATCH_PATIENCE.1
-        } else {
-            WATCH_PATIENCE.0
-        }
-    }
-
     /// The destination with the longest queue, how many wait there, and what holds them up.
     pub fn longest_queue(&mut self, now: Time) -> Option<(DestinationId, usize, Vec<RouteState>)> {
         let (to, queue) = self.queues.iter().max_by_key(|(_, queue)| queue.len())?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,6 @@
 mod interface;
 mod settings;
 
-pub use choice::Courier;
+pub use choice::{Courier, WATCH_PATIENCE};
 pub use interface::*;
 pub use settings::{parse_settings, parse_settings_json, Parsed, SettingError};
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -166,6 +166,8 @@
     /// What it answers when asked for the whole list.
     list: Mutex<String>,
     silent: AtomicBool,
+    /// Milliseconds before a watch is answered.
+    slow: AtomicU64,
     hold_notices: AtomicBool,
     notices: AtomicU32,
     watches: Mutex<Watches>,
@@ -196,6 +198,7 @@
                 format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()).as_bytes(),
             );
         } else if !discovery.silent.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(discovery.slow.load(Ordering::SeqCst)));
             let mut watches = discovery.watches.lock().unwrap();
             let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
             let _ = out.write_all(format!("{head}{}", watches.told).as_bytes());
@@ -509,6 +512,16 @@
         self.discovery.state.silent.store(silent, Ordering::SeqCst);
     }
 
+    /// Discovery has so much to do that a watch is answered late.
+    pub fn slow_discovery(&self, by: Duration) {
+        self.discovery.state.slow.store(by.as_millis() as u64, Ordering::SeqCst);
+    }
+
+    /// Watches that discovery has answered.
+    pub fn watches(&self) -> usize {
+        self.discovery.state.watches.lock().unwrap().open.len()
+    }
+
     pub fn disk_used(&self) -> u64 {
         let files = std::fs::read_dir(self.folder.join("state")).unwrap();
         files.map(|file| file.unwrap().metadata().map_or(0, |data| data.len().div_ceil(512) * 512)).sum()
