Ask for the list within half of the time for which a drain may be missed

To blame: `first_watch`, which spread the first watches over 0.1 s for each courier, 27 s for 273. What the agent has been told counts as told, also while the courier was away. They now come within half of Rules.StopSendingWithin at most.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -115,8 +115,11 @@
 /// and together they must ask less than it can answer, or none of them hears of it again.
 const WATCH_GAPS_REFUSED: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
 /// Within so much for each courier it is asked for the first time: what a herd asks for at its start is done
-/// in its turn, long after most of them have given up waiting.
+/// in its turn, long after most of them have given up waiting ...
 const WATCH_FIRST: Duration = Duration::from_millis(100);
+/// ... and within this part of the time for which a drain may be missed: what was told while the courier was
+/// away counts as told.
+const WATCH_FIRST_OF_DRAIN: f64 = 0.5;
 /// How long discovery may take to answer: who hangs up has made it work for nothing, and asks once more.
 pub const WATCH_PATIENCE: Duration = Duration::from_secs(3);
 /// While operators empty the courier, clients that have not yet heard of it are served for so long.
@@ -251,7 +254,8 @@
 
     /// After how long to watch the list for the first time: couriers that start together spread.
     pub fn first_watch(&mut self) -> Duration {
-        WATCH_FIRST.mul_f64(couriers(&self.settings) * self.rng.f64())
+        let longest = self.settings.rules.stop_sending.mul_f64(WATCH_FIRST_OF_DRAIN);
+        WATCH_FIRST.mul_f64(couriers(&self.settings)).min(longest).mul_f64(self.rng.f64())
     }
 
     /// The destination with the longest queue, how many wait there, and what holds them up.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -171,6 +171,8 @@
     pub tip_multiple: f64,
     /// ... for this long, a cold destination falls over.
     pub fall: Duration,
+    /// Calls to an endpoint end within this time from when it is told that it drains or is gone.
+    pub stop_sending: Duration,
     /// A key rests this long after an attempt that may still be running.
     pub order_settle: Duration,
 }
@@ -239,6 +241,7 @@
                 cold: Duration::from_secs(10),
                 tip_multiple: 2.0,
                 fall: Duration::from_secs(2),
+                stop_sending: Duration::from_secs(2),
                 order_settle: Duration::ZERO,
             },
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -186,6 +186,7 @@
             cold: lines.span("Rules.Cold", rules.cold)?,
             tip_multiple: lines.or("Rules.TipMultiple", rules.tip_multiple)?,
             fall: lines.span("Rules.Fall", rules.fall)?,
+            stop_sending: lines.span("Rules.StopSendingWithin", rules.stop_sending)?,
             order_settle: lines.span("Rules.OrderSettle", rules.order_settle)?,
         },
     };
