--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -277,3 +277,38 @@
         assert_eq!(seen, expected);
     }
 }
+
+/// What is over leaves nothing behind: a courier that has passed ten times as many messages, by whatever way they
+/// ended, remembers no more than one that has passed a few.
+#[test]
+fn memory_does_not_grow_with_the_messages_that_have_passed() {
+    let remembered = |steps: u32| {
+        let (settings, endpoints) = world();
+        let mut bench = Bench::new(settings, endpoints.clone());
+        for step in 0..steps {
+            bench.now = bench.now + ms(40);
+            bench.accept(step, (step % 4) as u8, 1 + (step % 3) as u16, Some(u64::from(step)));
+            // Endpoints come and go as well.
+            let new = Endpoint { id: EndpointId(1000 + step), ..endpoints[0].clone() };
+            let gone = Endpoint { mode: Mode::Gone, ..new.clone() };
+            bench.tell(Event::Listed(Listing::Changes(vec![new])));
+            for (message, endpoint, _) in bench.routes() {
+                bench.finish(message, endpoint, outcome((step % 9) as usize), ms(7));
+            }
+            bench.tell(Event::Listed(Listing::Changes(vec![gone])));
+        }
+        // All that is still held runs out.
+        let longest = bench.settings.classes.iter().map(|class| class.deadline).max().unwrap();
+        let end = bench.now + longest * 2;
+        while bench.now < end {
+            bench.now = bench.now + ms(500);
+            for (message, endpoint, _) in bench.routes() {
+                bench.finish(message, endpoint, Outcome::Ok, ms(7));
+            }
+        }
+        postcard::to_stdvec(&bench.courier).unwrap().len()
+    };
+    let (few, many) = (remembered(300), remembered(3000));
+    // Larger numbers take some more bytes each.
+    assert!(many < few + 400, "{few} bytes after 300 messages, {many} after 3000");
+}
