Send notices again on a new connection after 0.1 s without an answer, instead of 0.6 s

Seen in a test with a connection to the agent that falls silent while the agent answers on others: two notices that were due at once were told "after 603.539464ms". A final answer has 300 ms from the end of its message's time on, and half of the settings' slack may have passed before the notice is written.

To blame: `post`, which waited `ANSWER` (500 ms) for what the agent on the same machine answers at once, and `notices`, which then paused for 100 ms also where the connection was at fault. Now 100 ms, twice as long after each silence; a kept connection that turns out to be closed is replaced at once; what was queued meanwhile goes along. The pause stays for an agent that cannot be reached.

--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -29,7 +29,10 @@
 /// The watch has an empty line every 2 s; silence for this long is an outage of discovery. What was missed counts
 /// as told after 6 s, so that there is no time for a longer wait.
 const SILENCE: Duration = Duration::from_secs(3);
-/// Between tries to tell notices.
+/// Notices are answered at once. What is not in this time goes again on another connection, as this one may be dead
+/// while the agent lives; it gets twice as long each time. Both fit into the time that a final answer has at the end.
+const NOTICE: Duration = Duration::from_millis(100);
+/// Between tries to tell notices to an agent that cannot be reached.
 const BACK_OFF: Duration = Duration::from_millis(100);
 /// Notices that go in one request at most.
 const NOTICES: usize = 200;
@@ -410,6 +413,7 @@
     let mut connection = None;
     let mut batch = Vec::new();
     let mut down = false;
+    let mut patience = NOTICE;
     while queue.recv_many(&mut batch, NOTICES).await > 0 {
         while !batch.is_empty() {
             if agent.has_changed().unwrap_or_default() {
@@ -417,8 +421,9 @@
             }
             let address = agent.borrow_and_update().clone();
             let Ok(open) = gate.acquire().await else { return };
+            let kept = connection.is_some();
             let told = tokio::select! {
-                told = tell(&address, &mut connection, &mut batch, &driver) => told,
+                told = tell(&address, &mut connection, &mut batch, &driver, patience) => told,
                 Ok(()) = agent.changed() => {
                     connection = None;
                     continue;
@@ -426,14 +431,23 @@
             };
             drop(open);
             match told {
-                Ok(()) => down = false,
+                Ok(()) => (down, patience) = (false, NOTICE),
                 Err(reason) => {
                     connection = None;
                     if !down {
                         warn!(%reason, waiting = batch.len(), "notices are not answered");
                         down = true;
                     }
-                    let _ = timeout(BACK_OFF, agent.changed()).await;
+                    if matches!(reason, AgentError::Silent(_)) {
+                        patience = (patience * 2).min(ANSWER);
+                    } else if !kept {
+                        let _ = timeout(BACK_OFF, agent.changed()).await;
+                    }
+                    // What has come meanwhile does not wait for these.
+                    while let Some(notice) = (batch.len() < NOTICES).then(|| queue.try_recv().ok()).flatten()
+                    {
+                        batch.push(notice);
+                    }
                 }
             }
         }
@@ -446,8 +460,9 @@
     connection: &mut Option<Connection>,
     batch: &mut Vec<Notice>,
     driver: &UnboundedSender<Input>,
+    patience: Duration,
 ) -> Result<(), AgentError> {
-    match post(agent, connection, batch.iter().map(Notice::line).collect()).await {
+    match post(agent, connection, batch.iter().map(Notice::line).collect(), patience).await {
         // One bad line must not hold up the others: they go one by one, and it is let go.
         Err(AgentError::Status(StatusCode::BAD_REQUEST)) => {}
         result => {
@@ -458,7 +473,7 @@
         }
     }
     while let Some(notice) = batch.last() {
-        match post(agent, connection, notice.line()).await {
+        match post(agent, connection, notice.line(), patience).await {
             Err(refused @ AgentError::Status(StatusCode::BAD_REQUEST)) => {
                 error!(id = notice.id, %refused, "a notice is not understood");
             }
@@ -470,20 +485,25 @@
     Ok(())
 }
 
-async fn post(agent: &str, kept: &mut Option<Connection>, lines: String) -> Result<(), AgentError> {
-    let mut connection = match kept.take().filter(|connection| !connection.is_closed()) {
-        Some(connection) => connection,
-        None => connect(agent).await?,
-    };
+async fn post(
+    agent: &str,
+    kept: &mut Option<Connection>,
+    lines: String,
+    patience: Duration,
+) -> Result<(), AgentError> {
     let request = Request::post("/v1/notices").header("Host", agent).body(Full::new(Bytes::from(lines)))?;
     let exchange = async {
+        let mut connection = match kept.take().filter(|connection| !connection.is_closed()) {
+            Some(connection) => connection,
+            None => connect(agent).await?,
+        };
         connection.ready().await?;
         let response: Response<Incoming> = connection.send_request(request).await?;
         let status = response.status();
         response.into_body().collect().await?;
-        Ok::<_, hyper::Error>(status)
+        Ok::<_, AgentError>((connection, status))
     };
-    let status = timeout(ANSWER, exchange).await??;
+    let (connection, status) = timeout(patience, exchange).await??;
     *kept = Some(connection);
     if status == StatusCode::NO_CONTENT {
         Ok(())
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -417,6 +417,32 @@
     }
 }
 
+/// A connection to the agent may fall silent while the agent itself answers: a final answer has 300 ms from the end of
+/// its message's time on, so that it goes again on another connection long before 0.6 s, as it used to, and takes
+/// along what came behind it.
+#[test]
+fn a_notice_on_a_connection_that_fell_silent_is_told_in_time() {
+    let world = World::new(1, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    let mut out = Vec::new();
+    for id in ["n1", "n2", "n3"] {
+        assert_eq!(client.enqueue(id, "0", "salary", 1, b"x"), "+OK");
+        out.push(world.call());
+    }
+    let failed = |id: &str| format!(r#"{{"id":"{id}","state":"failed"}}"#);
+    out.remove(0).reset();
+    assert_eq!(world.notice(), failed("n1"));
+    world.lose_notices(1);
+    let begun = Instant::now();
+    out.into_iter().for_each(Call::reset);
+    let mut told = [world.notice(), world.notice()];
+    assert!(begun.elapsed() < Duration::from_millis(500), "after {:?}", begun.elapsed());
+    told.sort();
+    assert_eq!(told, ["n2", "n3"].map(failed));
+    world.nothing();
+}
+
 /// The journal of a long day is compacted again and again: it stays inside the disk, and keeps what is held.
 #[test]
 fn a_long_journal_is_compacted() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -169,6 +169,8 @@
     /// Milliseconds before a watch is answered.
     slow: AtomicU64,
     hold_notices: AtomicBool,
+    /// Connections that fall silent with the next notices on them, which nobody sees.
+    lost_notices: AtomicU32,
     notices: AtomicU32,
     watches: Mutex<Watches>,
 }
@@ -185,6 +187,11 @@
     let mut input = BufReader::new(stream);
     while let Some(request) = read_request(&mut input) {
         if request.line.starts_with("POST /v1/notices ") {
+            let less = |left: u32| left.checked_sub(1);
+            if discovery.lost_notices.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less).is_ok() {
+                while read_request(&mut input).is_some() {}
+                return;
+            }
             discovery.notices.fetch_add(1, Ordering::SeqCst);
             for line in String::from_utf8_lossy(&request.body).lines() {
                 let _ = seen.send(Seen::Notice(line.to_owned()));
@@ -481,6 +488,11 @@
         self.discovery.state.hold_notices.store(hold, Ordering::SeqCst);
     }
 
+    /// So many connections fall silent, each with the next notices on it.
+    pub fn lose_notices(&self, connections: u32) {
+        self.discovery.state.lost_notices.store(connections, Ordering::SeqCst);
+    }
+
     /// Tells the watch that an endpoint drains.
     pub fn drain(&self, endpoint: usize) {
         self.tell(2, &[self.target(endpoint, "DRAINING")]);
