Tell a client an error where its half-spoken request gives way, not close without a word

Seen in a test: 128 clients inside a request fill the places, and 20 more come after 450 ms. The 20 that gave way were closed without a line. Their clients may have written the rest just then, and a connection that ends without an answer after the last byte of its request loses the request.

To blame: `Client::read`, which returned `Come::End` for a part of a request on `give_way` without reading what had come. It is read first now, and where the request is still not whole its client is told an error, as after `HALF`.

--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -449,7 +449,14 @@
                 // Room is made only when there is something to read: idle connections hold none.
                 ready = self.stream.readable() => ready?,
                 () = give_way.notified() => {
-                    return if between { self.read_now() } else { Ok(Come::End) };
+                    let come = self.read_now()?;
+                    match come {
+                        // Of a request that has begun, the rest may be on its way: it is owed a word.
+                        Come::End if !between => return Ok(Come::Late),
+                        Come::More if !between => self.place.set(Doing::Half),
+                        _ => {}
+                    }
+                    return Ok(come);
                 }
                 () = tokio::time::sleep_until(due) => {
                     return if between { self.read_now() } else { Ok(Come::Late) };
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -38,6 +38,22 @@
     drop(silent);
 }
 
+/// Who is inside a request when places are short may have written the rest of it: the connection ends with an error
+/// and not without a word, which would lose the request.
+#[test]
+fn half_spoken_requests_that_give_way_get_an_error() {
+    let mut world = World::new(1, 3.0);
+    world.sockets = 256;
+    let courier = world.start();
+    let mut halves: Vec<Client> = (0..128).map(|_| courier.client().within(OWED)).collect();
+    halves.iter_mut().for_each(|half| half.send(b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nh"));
+    // Their clients would have stopped waiting by now.
+    std::thread::sleep(Duration::from_millis(450));
+    let mut others: Vec<Client> = (0..20).map(|_| courier.client().within(OWED)).collect();
+    others.iter_mut().for_each(|other| assert_eq!(other.ask(&["PING"]), "+PONG"));
+    halves[..20].iter_mut().for_each(|half| assert!(half.line().starts_with("-ERR ")));
+}
+
 /// Those that ask once and stay do not use up what clients may hold, a third of the descriptors: the longest idle
 /// one is closed for each that comes, and the last one stays.
 #[test]
