--- /dev/null
+++ b/tests/large.rs
@@ -0,0 +1,68 @@
+//! Deployments of a thousand endpoints and couriers, on a small machine for each courier.
+
+mod world;
+
+use world::*;
+
+const MANY: u16 = 1024;
+const SOCKETS: u32 = 256;
+const MEMORY_MB: u32 = 32;
+
+fn large() -> World {
+    let mut world = World::patient(1, 3.0);
+    world.enlarge(MANY.into());
+    (world.apart, world.couriers, world.rate) = (true, MANY.into(), 1e6);
+    (world.sockets, world.memory_mb) = (SOCKETS, MEMORY_MB);
+    world
+}
+
+/// Each destination gets its message, through fewer descriptors than there are endpoints. Of one order key, each goes
+/// out when the one before is over; the last stays out.
+fn deliver_to_all(world: &World, courier: &Courier, round: &str) -> Call {
+    let mut client = courier.client();
+    let mut send = |id: &str, destination| {
+        assert_eq!(client.enqueue(id, "9", "notice,k=k", destination, b"x"), "+OK");
+        let call = world.call();
+        assert_eq!(call.id, id);
+        call
+    };
+    for destination in 1..=MANY {
+        let id = format!("{round}{destination}");
+        send(&id, destination).answer("200 OK", "");
+        let held = courier.descriptors();
+        assert!(held <= SOCKETS as usize, "{held} descriptors at {id}");
+    }
+    let most = courier.peak_memory();
+    assert!(most <= u64::from(MEMORY_MB) << 10, "{most} KiB");
+    send(&format!("{round}-last"), MANY)
+}
+
+/// The list comes by the watch, from the journal after a kill, and whole from another agent: each time all of it counts,
+/// inside the limits.
+#[test]
+fn a_thousand_endpoints_and_couriers_fit_a_small_machine() {
+    let world = large();
+    world.known.set(1);
+    let courier = world.start();
+    assert!(courier.client().enqueue("early", "0", "salary", MANY, b"x").starts_with("-ERR "));
+    world.tell_all(2);
+    courier.log_until("the list has changed rev=2 changed=1024");
+    let _out = deliver_to_all(&world, &courier, "w");
+    let courier = courier.kill_and_restart();
+    courier.log_until("the journal was replayed held=1 rev=2");
+    let again = world.call();
+    assert_eq!(again.id, "w-last");
+    again.answer("200 OK", "");
+    let _out = deliver_to_all(&world, &courier, "j");
+    let agent = world.agent_with_drain(usize::from(MANY) - 1);
+    world.configure(&agent);
+    courier.hang_up();
+    courier.log_until("the list has changed rev=5 changed=1024");
+    let mut client = courier.client();
+    assert_eq!(client.enqueue("drains", "0", "salary", MANY, b"x"), "+OK");
+    assert_eq!(client.enqueue("serves", "0", "salary", MANY - 1, b"x"), "+OK");
+    let call = world.call();
+    assert_eq!(call.id, "serves");
+    call.answer("200 OK", "");
+    world.nothing();
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -254,10 +254,16 @@
     /// Messages that one call may carry.
     pub batch: u32,
     pub sockets: u32,
+    pub memory_mb: u32,
+    /// Couriers that the settings tell of, and calls a second that all may make to an endpoint.
+    pub couriers: u32,
+    pub rate: f64,
     /// Each endpoint has a destination of its own, from 1 on.
     pub apart: bool,
     /// Names of the settings: a process with others does not understand one's memory.
     pub zone: Cell<&'static str>,
+    /// Endpoints of the list that comes with the start; all if there are fewer.
+    pub known: Cell<usize>,
     /// Where clients connect; the system chooses if nothing is told.
     pub listen: Cell<SocketAddr>,
     disk_mb: f64,
@@ -304,8 +310,12 @@
             slots: 16,
             batch: 1,
             sockets: 1024,
+            memory_mb: 192,
+            couriers: 1,
+            rate: 1000.0,
             apart: false,
             zone: Cell::new("kingston"),
+            known: Cell::new(usize::MAX),
             listen: Cell::new(([127, 0, 0, 1], 0).into()),
             disk_mb,
         }
@@ -316,6 +326,14 @@
         World { aim: 100, ..World::new(endpoints, disk_mb) }
     }
 
+    /// As many endpoints in all, with one address for those that are new.
+    pub fn enlarge(&mut self, endpoints: usize) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        self.endpoints.resize(endpoints, listener.local_addr().unwrap());
+        let send = self.send.clone();
+        serve(listener, move |stream| serve_calls(endpoints, stream, &send));
+    }
+
     /// Puts an address that refuses connections in an endpoint's place.
     pub fn refuse_connections(&mut self, endpoint: usize) {
         let (socket, address) = bound();
@@ -368,7 +386,7 @@
         let destination = if self.apart { endpoint + 1 } else { 1 };
         json!({
             "uid": format!("s-{endpoint}"), "endpoint": self.endpoints[endpoint].to_string(), "az": "kingston",
-            "model": "banks", "pod_group": destination, "state": state, "capacity_hint": 1000.0, "boot_ms": 0,
+            "model": "banks", "pod_group": destination, "state": state, "capacity_hint": self.rate, "boot_ms": 0,
         })
     }
 
@@ -409,7 +427,8 @@
 
     /// Writes the configuration, with discovery at some agent.
     pub fn configure(&self, agent: &Agent) {
-        let targets: Vec<Value> = (0..self.endpoints.len()).map(|at| self.target(at, "SERVING")).collect();
+        let known = self.endpoints.len().min(self.known.get());
+        let targets: Vec<Value> = (0..known).map(|at| self.target(at, "SERVING")).collect();
         let classes = [
             class(self.aim, "notice", "idempotency_key", 10_000, true),
             class(self.aim, "brief", "idempotency_key", 400, true),
@@ -417,10 +436,10 @@
         ];
         let config = json!({
             "name": "n0", "listen": self.listen.get().to_string(), "admin_addr": "127.0.0.1:0", "discovery": agent.address.to_string(), "seed": "7",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets, "disk_mb": self.disk_mb},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets, "disk_mb": self.disk_mb},
             "known": {"rev": 1, "all": true, "targets": targets},
             "settings": {
-                "Balancers": 1, "Lanes": classes, "MachineTypes": ["banks"], "Zones": [self.zone.get()],
+                "Balancers": self.couriers, "Lanes": classes, "MachineTypes": ["banks"], "Zones": [self.zone.get()],
                 "Projects": [{"Name": "north", "QuotaPerS": 0.0}, {"Name": "south", "QuotaPerS": 1e6}],
                 "OverShareWorth": 0.2,
                 "WeightSource": "nominal", "FamilyInfo": {"CallsOut": self.slots, "KindBatch": [self.batch], "OwnLimits": [false]},
@@ -498,6 +517,11 @@
         self.tell(2, &[self.target(endpoint, "DRAINING")]);
     }
 
+    /// Tells the watch of all endpoints, in one line.
+    pub fn tell_all(&self, rev: u32) {
+        self.tell(rev, &(0..self.endpoints.len()).map(|at| self.target(at, "SERVING")).collect::<Vec<_>>());
+    }
+
     /// Tells the watch that an endpoint serves, as a later version of the list.
     pub fn serve_again(&self, endpoint: usize, rev: u32) {
         self.tell(rev, &[self.target(endpoint, "SERVING")]);
@@ -658,8 +682,17 @@
 
     /// Memory of the process that is in use, in KiB.
     pub fn memory(&self) -> u64 {
+        self.figure("VmRSS:")
+    }
+
+    /// The most that it ever had in use.
+    pub fn peak_memory(&self) -> u64 {
+        self.figure("VmHWM:")
+    }
+
+    fn figure(&self, name: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
         line.split_whitespace().next().unwrap().parse().unwrap()
     }
 
