Read lists that come indented by the watch too, not break it off at their first line

Seen in a test that sends an indented change by the watch: "the watch on the list broke reason="a line cannot be read: EOF while parsing an object"", and the same after each new watch, so that the courier never heard of the drain.

To blame: `Watch::once`, which took each line for a whole object. Lines are gathered now until the object is whole; only a line that begins at the margin can end it, so that a long list is not parsed line after line. An empty line inside an object, or anything that cannot be its continuation, breaks the watch as before.

--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -337,7 +337,9 @@
             return Err(AgentError::Status(response.status()));
         }
         let mut body = response.into_body();
-        let mut buffer = Vec::new();
+        let mut buffer: Vec<u8> = Vec::new();
+        // Up to where the buffer holds lines of an object that is not whole yet: lists may come indented.
+        let mut begun = 0;
         let mut told = false;
         while let Some(part) = timeout(SILENCE, body.frame()).await? {
             if part.is_err() && !told {
@@ -353,13 +355,33 @@
             }
             let Ok(data) = part?.into_data() else { continue };
             buffer.extend_from_slice(&data);
-            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-                let line: Vec<u8> = buffer.drain(..=end).collect();
-                if !line.trim_ascii().is_empty() {
-                    let update: Update = serde_json::from_slice(&line)?;
-                    self.rev = update.rev;
-                    let _ = driver.send(Input::Listed(update));
+            while let Some(end) = buffer[begun..].iter().position(|byte| *byte == b'\n') {
+                let end = begun + end;
+                let line = &buffer[begun..=end];
+                let blank = line.trim_ascii().is_empty();
+                if begun > 0 && blank {
+                    return Err(AgentError::Long);
                 }
+                // What is indented belongs to the object, whose end alone is worth a look.
+                if begun > 0 && line[0].is_ascii_whitespace() {
+                    begun = end + 1;
+                    continue;
+                }
+                if !blank {
+                    match serde_json::from_slice::<Update>(&buffer[..=end]) {
+                        Ok(update) => {
+                            self.rev = update.rev;
+                            let _ = driver.send(Input::Listed(update));
+                        }
+                        Err(error) if error.is_eof() => {
+                            begun = end + 1;
+                            continue;
+                        }
+                        Err(error) => return Err(error.into()),
+                    }
+                }
+                buffer.drain(..=end);
+                begun = 0;
             }
             if buffer.len() > LONGEST_LIST {
                 return Err(AgentError::Long);
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -381,6 +381,28 @@
     courier.log_until("the list has changed");
 }
 
+/// Lists may come indented, also by the watch, and in pieces; one that breaks off is damage, and the watch is begun
+/// anew with the next line instead of waiting for the rest.
+#[test]
+fn an_indented_list_is_heard_and_a_broken_one_is_not_waited_for() {
+    let world = World::new(2, 3.0);
+    let courier = world.start();
+    let text = world.indented_drain(0);
+    let (first, rest) = text.split_at(text.len() / 2);
+    world.tell_text(first);
+    world.tell_text(rest);
+    courier.log_until("the list has changed rev=2 changed=1");
+    for id in ["i1", "i2"] {
+        assert_eq!(courier.client().enqueue(id, "0", "salary", 1, b"x"), "+OK");
+        let call = world.call();
+        assert_eq!(call.endpoint, 1);
+        call.answer("200 OK", "");
+    }
+    world.tell_text("{\n  \"rev\": 3,\n");
+    world.tell_text("\n");
+    courier.log_until("the watch on the list broke");
+}
+
 /// Discovery that is slow, as a whole fleet asks at once, is asked once: who hung up after half a second asked
 /// again and again for what was already being done.
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -522,6 +522,12 @@
         self.tell(rev, &(0..self.endpoints.len()).map(|at| self.target(at, "SERVING")).collect::<Vec<_>>());
     }
 
+    /// The same, indented.
+    pub fn indented_drain(&self, endpoint: usize) -> String {
+        let update = json!({"rev": 2, "all": false, "targets": [self.target(endpoint, "DRAINING")]});
+        format!("{update:#}\n")
+    }
+
     /// Tells the watch that an endpoint serves, as a later version of the list.
     pub fn serve_again(&self, endpoint: usize, rev: u32) {
         self.tell(rev, &[self.target(endpoint, "SERVING")]);
@@ -533,9 +539,12 @@
     }
 
     fn tell(&self, rev: u32, targets: &[Value]) {
-        let update = json!({"rev": rev, "all": false, "targets": targets});
-        let line = format!("{update}\n");
-        let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+        self.tell_text(&format!("{}\n", json!({"rev": rev, "all": false, "targets": targets})));
+    }
+
+    /// Tells the watch some text, whatever it says.
+    pub fn tell_text(&self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
         let mut watches = self.discovery.state.watches.lock().unwrap();
         watches.told.push_str(&chunk);
         for watch in &mut watches.open {
