Take the time that a connection waited for a place off its first request's time

Seen in a test: all places are held by clients inside a request, and one more hands in a message with 1 s left to an endpoint that refuses connections. Its final answer came "after 1.510322323s, of which 509.694025ms for a place", where it has 1.3 s.

To blame: `Driver::enqueue` counts what is left from when a request is read, and `Clients::serve` accepts a connection only when there is a place for it. It measures that wait now, which is the most that the first request can have waited unread.

--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -110,6 +110,8 @@
     pub served: bool,
     /// What is left of the time in which more must come.
     pub left: Duration,
+    /// How long it may have waited to be accepted, with its first request unread.
+    pub waited: Duration,
 }
 
 /// The clients of this process.
@@ -142,17 +144,19 @@
             }
             let accepted = async {
                 // One place is kept free, so that who comes next is never left in the listener's queue.
+                let asked = Instant::now();
                 places.make_room().await;
-                listener.accept().await
+                let waited = asked.elapsed();
+                listener.accept().await.map(|(stream, _)| (stream, waited))
             };
             let accepted = tokio::select! {
                 accepted = accepted => accepted,
                 Ok(()) = self.phase.changed() => continue,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, waited)) => {
                     let (buffer, left) = (Bytes::new(), SILENT);
-                    self.adopt(Moved { stream, buffer, served: false, left });
+                    self.adopt(Moved { stream, buffer, served: false, left, waited });
                 }
                 Err(error) => {
                     if let Some(more) = failures.due() {
@@ -165,7 +169,7 @@
     }
 
     /// Serves a connection from where it is.
-    pub fn adopt(&self, Moved { stream, buffer, served, left }: Moved) {
+    pub fn adopt(&self, Moved { stream, buffer, served, left, waited }: Moved) {
         let client = Client {
             stream,
             driver: self.driver.clone(),
@@ -174,6 +178,7 @@
             buffer: BytesMut::from(buffer),
             out: Vec::new(),
             served: u32::from(served),
+            waited,
             place: self.places.clone().enter(),
         };
         // A connection that breaks is its client's affair: what was taken on stays so.
@@ -340,6 +345,8 @@
     moved: UnboundedSender<Moved>,
     /// Requests answered.
     served: u32,
+    /// What its next request may have waited unread before the connection was accepted.
+    waited: Duration,
     // Before the place: the descriptor is closed by the time that the place is free.
     stream: TcpStream,
     driver: UnboundedSender<Input>,
@@ -400,9 +407,9 @@
             }
             self.flush().await?;
             if *self.phase.borrow() == Phase::Moving {
-                let Client { stream, moved, buffer, served, place, .. } = self;
+                let Client { stream, moved, buffer, served, place, waited, .. } = self;
                 let left = due.saturating_duration_since(Instant::now());
-                let client = Moved { stream, buffer: buffer.freeze(), served: served > 0, left };
+                let client = Moved { stream, buffer: buffer.freeze(), served: served > 0, left, waited };
                 // Sent before its place is free, so that who waits for the last one finds it there.
                 let _ = moved.send(client);
                 drop(place);
@@ -509,7 +516,8 @@
                 return self.flush_long().await.map(Some);
             }
             Some(b"ENQUEUE") => match Enqueue::read(words) {
-                Ok(enqueue) => {
+                Ok(mut enqueue) => {
+                    enqueue.left = enqueue.left.saturating_sub(std::mem::take(&mut self.waited));
                     if !self.gone() {
                         return self.hand_in(enqueue).await;
                     }
--- a/src/bin/gullcart/handover.rs
+++ b/src/bin/gullcart/handover.rs
@@ -306,7 +306,8 @@
                     for stream in descriptors {
                         match TcpStream::from_std(stream.into()) {
                             Ok(stream) => {
-                                clients.adopt(Moved { stream, buffer: buffer.clone(), served, left });
+                                let (buffer, waited) = (buffer.clone(), Duration::ZERO);
+                                clients.adopt(Moved { stream, buffer, served, left, waited });
                             }
                             Err(error) => warn!(%error, "a client's connection did not come over"),
                         }
@@ -463,7 +464,7 @@
                         return Given::Back(kept);
                     }
                 },
-                Some(Moved { stream, buffer, served, left }) = moved.recv() => {
+                Some(Moved { stream, buffer, served, left, .. }) = moved.recv() => {
                     match stream.into_std() {
                         Ok(stream) => {
                             say(&frames, &ToNew::Client { buffer, served, left }, vec![stream.into()]);
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use world::*;
 
 /// An error or a close is owed within 3 s of connecting.
@@ -54,6 +54,35 @@
     halves[..20].iter_mut().for_each(|half| assert!(half.line().starts_with("-ERR ")));
 }
 
+/// A request's time runs from its last byte on, also while its connection waits for a place: what it waited at most is
+/// taken off, or its final answer would be as much too late.
+#[test]
+fn time_spent_waiting_for_a_place_counts() {
+    let mut world = World::new(1, 3.0);
+    world.sockets = 256;
+    world.refuse_connections(0);
+    let courier = world.start();
+    let (mut halves, mut begun) = (Vec::new(), Instant::now());
+    let mut held_up = None;
+    // What they send is there when they are accepted: they are inside a request from the start, and hold all places.
+    courier.while_stopped(|| {
+        for _ in 0..128 {
+            let mut half = courier.client();
+            half.send(b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nh");
+            halves.push(half);
+        }
+        begun = Instant::now();
+        let mut client = courier.client();
+        client.command(&["ENQUEUE", "0", "w1", "c=salary,d=1000,dest=1", "x"]);
+        held_up = Some(client);
+    });
+    assert_eq!(held_up.unwrap().line(), "+OK");
+    let waited = begun.elapsed();
+    assert!(world.notice().contains(r#""id":"w1","state":"returned""#));
+    let (took, late) = (begun.elapsed(), Duration::from_millis(300));
+    assert!(took < Duration::from_secs(1) + late, "after {took:?}, of which {waited:?} for a place");
+}
+
 /// Those that ask once and stay do not use up what clients may hold, a third of the descriptors: the longest idle
 /// one is closed for each that comes, and the last one stays.
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -794,7 +794,8 @@
         self.line()
     }
 
-    fn command<W: AsRef<[u8]>>(&mut self, words: &[W]) {
+    /// Sends a command without waiting for its answer.
+    pub fn command<W: AsRef<[u8]>>(&mut self, words: &[W]) {
         let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
         for word in words.iter().map(AsRef::as_ref) {
             bytes.extend(format!("${}\r\n", word.len()).as_bytes());
