--- a/tests/batches.rs
+++ b/tests/batches.rs
@@ -111,6 +111,19 @@
     }
 }
 
+/// Nor is an end believed that is told twice; those beside it are.
+#[test]
+fn an_end_that_is_told_twice_is_none() {
+    let world = one_slot();
+    let courier = world.start();
+    behind_one(&world, &courier, &[("t1", "salary"), ("t2", "salary")]);
+    let call = world.call();
+    assert_eq!(call.batched().len(), 2);
+    call.answer_each("", &[("t1", "ok"), ("t2", "ok"), ("t1", "later")]);
+    assert_eq!(world.notice(), r#"{"id":"t1","state":"failed"}"#);
+    world.nothing();
+}
+
 /// Bodies too long for one call go in more.
 #[test]
 fn long_bodies_are_dealt_out_over_calls() {
