Refuse at the door what would be handed back, or push out what has not run, when nearly full

Nearly full, a courier took each message on, and `shed` then handed back the one of least worth, often that same one.

Ruled out: the mends of lost requests.

To blame: `takes_on`, which knew only of the lame duck. It now weighs a new message against the least that is held, and what handing that back costs. Demand is counted as before.

--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -732,10 +732,6 @@
             return Answer::Error("k is missing");
         }
         let most = class.deadline;
-        if self.journal.image.held.len() >= self.most_held || !self.courier.takes_on(now) {
-            self.counts.busy += 1;
-            return Answer::Busy(Some(self.courier.come_back(now, destination)));
-        }
         let taken = Taken {
             id: enqueue.id,
             key: enqueue.key,
@@ -747,6 +743,11 @@
             again: enqueue.again,
             body: enqueue.body,
         };
+        let full = self.journal.image.held.len() >= self.most_held;
+        if full || !self.accepted(0, &taken).is_some_and(|new| self.courier.takes_on(now, &new)) {
+            self.counts.busy += 1;
+            return Answer::Busy(Some(self.courier.come_back(now, destination)));
+        }
         let id = taken.id.clone();
         match self.journal.take(taken) {
             Ok(number) => {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -97,6 +97,9 @@
 const TRIAL_SLOTS: f64 = 0.25;
 /// Share of the messages that may be held above which the least worth are shed.
 const SHED_ABOVE: f64 = 0.93;
+/// What surely did not run and is handed back before this part of its time costs so much of its worth: its
+/// client has waited in vain, where one that is refused at the door has not.
+const UNTRIED: (f64, f64) = (0.7, 0.3);
 /// Weight of the newest loss or answer on an idle connection in the risk that such are dropped unseen.
 const REAPED_GAIN: f64 = 0.15;
 /// Risk from which on idle connections are closed before use: by an unsafe message, which would be lost, and
@@ -247,9 +250,23 @@
         wait.max(backlog).clamp(aim.mul_f64(BACKOFF_BASE_OF_AIM), aim.mul_f64(BACKOFF_CAP_OF_AIM))
     }
 
-    /// Whether new messages are taken on, rather than refused.
-    pub fn takes_on(&self, now: Time) -> bool {
-        self.lame_since.is_none_or(|since| now - since < LAME_GRACE)
+    /// Whether a new message is taken on, rather than refused: nearly full, only if it is worth more than
+    /// what has to go for it and what that costs.
+    pub fn takes_on(&mut self, now: Time, taken: &Accepted) -> bool {
+        let leaving = self.lame_since.is_some_and(|since| now - since >= LAME_GRACE);
+        if leaving || self.open < self.most_open() {
+            return !leaving;
+        }
+        let over_share = self.share_left(now, taken.tenant).is_some_and(|left| left < 1.0);
+        let worth = self.new_message(now, taken.clone(), over_share).map(|m| self.worth(now, &m));
+        let early = |m: &Message| now < m.born + self.class(m).deadline.mul_f64(UNTRIED.0);
+        let price = |m: &Message| if m.maybe_ran.is_none() && early(m) { UNTRIED.1 } else { 0.0 };
+        let costs = |m: &Message| price(m) * self.full_worth(m);
+        let takes = self.least(now).is_none_or(|(least, m)| worth.is_some_and(|w| w > least + costs(m)));
+        if !takes {
+            self.note_demand(now, taken.destination);
+        }
+        takes
     }
 
     /// After how long to watch the list for the first time: couriers that start together spread.
@@ -364,21 +381,31 @@
     }
 
     fn on_accept(&mut self, now: Time, taken: Accepted) {
-        let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else { return };
-        let born = taken.deadline - class.deadline;
-        // A keyed message of a courier that died may have run there at any time since it was handed in.
-        let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
-        if let (true, Some(key)) = (class.in_order, taken.key) {
+        let over_share = self.is_over_share(now, taken.tenant);
+        let Some(message) = self.new_message(now, taken, over_share) else { return };
+        let taken = &message.taken;
+        if let (true, Some(key)) = (self.class(&message).in_order, taken.key) {
             self.keys.entry(key).or_default().push_back(taken.id);
         }
         self.deadlines.insert((taken.deadline, taken.id));
         self.queues.entry(taken.destination).or_default().push(taken.id);
         self.open += 1;
-        for (_, route) in self.routes.range_mut(routes_of(taken.destination)) {
+        self.note_demand(now, message.taken.destination);
+        self.messages.insert(message.taken.id, message);
+    }
+
+    fn note_demand(&mut self, now: Time, to: DestinationId) {
+        for (_, route) in self.routes.range_mut(routes_of(to)) {
             route.demand.rate(now, cold_s(&self.settings), 1.0);
         }
-        let over_share = self.is_over_share(now, taken.tenant);
-        let message = Message {
+    }
+
+    fn new_message(&self, now: Time, taken: Accepted, over_share: bool) -> Option<Message> {
+        let class = self.settings.classes.get(usize::from(taken.class.0))?;
+        let born = taken.deadline - class.deadline;
+        // A keyed message of a courier that died may have run there at any time since it was handed in.
+        let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
+        Some(Message {
             born,
             over_share,
             attempts: 0,
@@ -388,8 +415,7 @@
             closed: false,
             unheard: false,
             taken,
-        };
-        self.messages.insert(message.taken.id, message);
+        })
     }
 
     /// Takes a message up again after a restart. Calls that were out then broke with the old process at the
@@ -428,18 +454,20 @@
     /// Whether a tenant is past its quota. The quota is for all couriers together, and what others take of it
     /// cannot be seen: what passes the part assumed to be this courier's counts as beyond.
     fn is_over_share(&mut self, now: Time, tenant: TenantId) -> bool {
-        let Some(quota) = self.settings.tenants.get(tenant.0 as usize).map(|t| t.quota) else { return false };
-        let part = (QUOTA_PART / couriers(&self.settings)).min(1.0);
-        let (left, since) = self.shares.entry(tenant).or_insert((quota * part, now));
-        *left = (*left + (now - *since).as_secs_f64() * quota * part).min(quota * part);
-        *since = now;
-        let over = *left < 1.0;
-        if !over {
-            *left -= 1.0;
-        }
+        let Some(left) = self.share_left(now, tenant) else { return false };
+        let over = left < 1.0;
+        self.shares.insert(tenant, (if over { left } else { left - 1.0 }, now));
         over
     }
 
+    /// What is left of a tenant's share, in messages; none where it has no share.
+    fn share_left(&self, now: Time, tenant: TenantId) -> Option<f64> {
+        let quota = self.settings.tenants.get(tenant.0 as usize)?.quota;
+        let most = quota * (QUOTA_PART / couriers(&self.settings)).min(1.0);
+        let (left, since) = self.shares.get(&tenant).copied().unwrap_or((most, now));
+        Some((left + (now - since).as_secs_f64() * most).min(most))
+    }
+
     fn on_told_wait(&mut self, now: Time, endpoint: EndpointId, wait: Duration) {
         let route = self.addresses.get(&endpoint).map(|a| self.route_of(&a.entry));
         if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
@@ -915,8 +943,13 @@
             }
         };
         let age = (now - message.born).as_secs_f64();
+        self.full_worth(message) * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim))
+    }
+
+    /// Worth of a message on time.
+    fn full_worth(&self, message: &Message) -> f64 {
         let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
-        class.worth * share * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim))
+        self.class(message).worth * share
     }
 
     /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat. Ties
@@ -1083,19 +1116,23 @@
 
     /// Nearly full: the least worth go, before new messages are turned away unseen.
     fn shed(&mut self, now: Time) {
-        let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
-        while self.open > most {
-            let least = self
-                .messages
-                .values()
-                .filter(|m| !m.closed && m.out.is_none())
-                .map(|m| (self.worth(now, m), m.taken.id))
-                .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
-            let Some((_, id)) = least else { return };
+        while self.open > self.most_open() {
+            let Some(id) = self.least(now).map(|(_, m)| m.taken.id) else { return };
             self.answer(now, id);
         }
     }
 
+    fn most_open(&self) -> usize {
+        (self.settings.most_held as f64 * SHED_ABOVE) as usize
+    }
+
+    /// The message of least worth that could be handed back.
+    fn least(&self, now: Time) -> Option<(f64, &Message)> {
+        let idle = self.messages.values().filter(|m| !m.closed && m.out.is_none());
+        idle.map(|m| (self.worth(now, m), m))
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.taken.id.cmp(&a.1.taken.id)))
+    }
+
     fn close(&mut self, id: MessageId) {
         if let Some(message) = self.messages.get_mut(&id).filter(|m| !m.closed) {
             message.closed = true;
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -3,8 +3,8 @@
 mod common;
 mod world;
 
-use cloverstile::{Action, Event, Kind, Outcome, Settings};
-use common::{endpoint, ms, safe, settings, Bench};
+use cloverstile::{Action, ClassId, Event, Kind, Outcome, Settings};
+use common::{accepted, endpoint, ms, safe, settings, Bench};
 use std::io::Write;
 use std::net::Shutdown;
 use std::time::Duration;
@@ -163,13 +163,16 @@
 fn a_lame_duck_takes_nothing_on_after_a_while() {
     let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(11, 3)]);
     bench.tell(Event::LameDuck(true));
-    assert!(bench.courier.takes_on(bench.now));
+    let class = (ClassId(0), &safe());
+    let takes_on =
+        |bench: &mut Bench| bench.courier.takes_on(bench.now, &accepted(bench.now, 1, class, 3, None));
+    assert!(takes_on(&mut bench));
     bench.now = bench.now + ms(2000);
     bench.tell(Event::LameDuck(true));
     bench.now = bench.now + ms(1500);
-    assert!(!bench.courier.takes_on(bench.now));
+    assert!(!takes_on(&mut bench));
     bench.tell(Event::LameDuck(false));
-    assert!(bench.courier.takes_on(bench.now));
+    assert!(takes_on(&mut bench));
 }
 
 /// What comes back from the operators may have been restarted: it is served slowly at first.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -376,6 +376,30 @@
     assert_eq!(answers, 5);
 }
 
+/// Who is refused at the door has not waited in vain: what would be handed back for a new message, or be handed back
+/// itself, costs more than it. Of one worth nothing goes for another, and for one worth more the least goes.
+#[test]
+fn nearly_full_a_message_of_no_more_worth_is_refused_at_the_door() {
+    let rich = Class { worth: 5.0, ..safe() };
+    let base = settings(vec![safe(), rich]);
+    let mut bench = Bench::new(Settings { most_held: 20, ..base }, vec![]);
+    let classes = bench.settings.classes.clone();
+    let takes_on = |bench: &mut Bench, class: u8| {
+        let new = accepted(bench.now, 99, (ClassId(class), &classes[usize::from(class)]), 1, None);
+        bench.courier.takes_on(bench.now, &new)
+    };
+    for id in 0..18 {
+        assert!(takes_on(&mut bench, 0), "{id}");
+        bench.accept(id, 0, 1, None);
+    }
+    assert!(bench.until_action(ms(5)).is_empty());
+    assert!(!takes_on(&mut bench, 0));
+    assert!(takes_on(&mut bench, 1));
+    // Late and near its end, the least costs nothing any more.
+    bench.now = bench.now + classes[0].deadline.mul_f64(0.8);
+    assert!(takes_on(&mut bench, 0));
+}
+
 #[test]
 fn what_is_beyond_a_tenants_share_is_shed_first() {
     let base = settings(vec![safe()]);
