Count the time in which a message may leave from the decision, not its call's first turn

A connection that came up in between could still have carried the message.

To blame: `Pool::call`, which added the span to its own start. The driver now turns it into a moment by the module's clock. The test in calls.rs gives a call one message whose moment has passed and one that has time, and sees only the second go out; it fails where a few milliseconds more are granted. The line in `Driver::route` itself has no test: nothing comes between the decision and the task there that a test could delay.

--- a/src/bin/gullcart/calls.rs
+++ b/src/bin/gullcart/calls.rs
@@ -52,8 +52,8 @@
 #[derive(Clone)]
 pub struct Load {
     pub message: MessageId,
-    /// Its first byte leaves within this time from the call's start, or it is not sent.
-    pub leave_within: Duration,
+    /// Its first byte leaves before this, or it is not sent.
+    pub leave_by: Instant,
     pub id: String,
     pub idempotency_key: Option<String>,
     pub body: Bytes,
@@ -280,9 +280,9 @@
 
     /// Takes out of a call what may not leave any more, and gives it back.
     fn take_late(&self, call: &mut Call, waited: Duration) -> Vec<MessageId> {
-        let mut late = Vec::new();
+        let (mut late, now) = (Vec::new(), Instant::now());
         call.loads.retain(|load| {
-            let in_time = waited < load.leave_within;
+            let in_time = now < load.leave_by;
             if !in_time {
                 late.push(load.message);
             }
@@ -327,7 +327,7 @@
             let until = end.min(start + self.connect_timeout);
             let mut connecting = pin!(self.connection(call.endpoint, call.address, until));
             let (mut connection, fresh) = loop {
-                let next = call.loads.iter().map(|load| start + load.leave_within).min().unwrap_or(end);
+                let next = call.loads.iter().map(|load| load.leave_by).min().unwrap_or(end);
                 let ready = tokio::select! {
                     biased;
                     reason = &mut stop => return ended(call, never_sent(reason.ok())),
@@ -595,6 +595,45 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    /// The time of a message runs on while its call waits for its turn: what has passed by then is not sent, and what
+    /// shares the call is.
+    #[test]
+    fn what_ran_out_before_its_call_had_its_turn_is_not_sent() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let asked = tokio::task::spawn_local(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut request = vec![0; 4096];
+                let length = stream.read(&mut request).await.unwrap();
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+                request.truncate(length);
+                String::from_utf8(request).unwrap()
+            });
+            let decided = Instant::now();
+            let load = |number: u32, leave_by| Load {
+                message: MessageId(number),
+                leave_by,
+                id: format!("m{number}"),
+                idempotency_key: None,
+                body: Bytes::new(),
+            };
+            let loads = vec![load(1, decided), load(2, decided + Duration::from_secs(60))];
+            let mut call = Call { endpoint: EndpointId(1), address, loads, try_for: Duration::from_secs(60) };
+            let late = RefCell::new(Vec::new());
+            let (_stop, stopped) = oneshot::channel();
+            let pool = Rc::new(Pool::new(Duration::from_secs(60), Duration::from_secs(60), 2, 2));
+            let too_late = |messages| late.borrow_mut().extend::<Vec<MessageId>>(messages);
+            let ended = pool.call(&mut call, stopped, Rc::default(), too_late).await;
+            assert_eq!(late.take(), [MessageId(1)]);
+            assert_eq!(ended.each.iter().map(|ended| ended.outcome).collect::<Vec<_>>(), [Outcome::Ok]);
+            assert!(asked.await.unwrap().contains("X-Call-Id: m2\r\n"));
+            assert_eq!(call.loads.iter().map(|load| load.message).collect::<Vec<_>>(), [MessageId(2)]);
+        });
+    }
 
     #[test]
     fn reports_that_make_no_sense_are_ignored() {
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -934,11 +934,13 @@
         let address = self.directory.address(endpoint);
         let zone = self.directory.zone(endpoint).0;
         let (mut carried, mut size) = (Vec::new(), 0);
+        // The module's times count from its decision, not from when the call's task gets its turn.
+        let decided = self.clock.instant(now);
         for route in routes {
             let Action::Route { message, try_for, leave_within, .. } = *route else { continue };
             let load = self.journal.image.held.get(&message.0).map(|held| Load {
                 message,
-                leave_within,
+                leave_by: decided + leave_within,
                 id: held.taken.id.clone(),
                 idempotency_key: held.taken.idempotency_key.clone(),
                 body: held.taken.body.clone(),
