Heed a wait and a refusal that come as the call ends

An answer seen with the end of its call was dropped with its wait. The test fails without the change.

--- a/src/bin/gullcart/calls.rs
+++ b/src/bin/gullcart/calls.rs
@@ -375,12 +375,10 @@
             let end_of_call = tokio::select! {
                 biased;
                 answer = send(&mut connection.sender, request) => match answer {
-                    // Behind a step that took long it may have come after the end, which is as if it had not.
-                    Ok(_) if Instant::now() >= end => End::TimedOut,
                     Ok(response) => return self.read(call, (connection, fresh), response, (start, end)).await,
                     Err(_) => End::Broken,
                 },
-                () = sleep_until(end) => End::TimedOut,
+                () = a_turn_after(end) => End::TimedOut,
                 () = wire.head_is_late(HEAD) => End::Broken,
                 reason = &mut stop => End::Stopped(reason.ok()),
             };
@@ -427,23 +425,31 @@
         let all = |ended: Ended| CallEnded { each: vec![ended; call.loads.len()], wait: None };
         let delivered = ended.outcome == Outcome::Ok;
         let wait = told_wait(&response);
+        // Behind a step that took long an answer may have come after the end: it delivers nothing then. That a call
+        // never ran, and a wait, stay true.
+        let too_late = Ended { outcome: Outcome::Timeout, complete: false, ..ended };
+        let served = call.loads.iter().all(|load| connection.wire.is_served(load.over));
         let rest = finish(self.clone(), call.endpoint, connection, response);
         if ended.outcome == Outcome::Error || (delivered && !several) {
             tokio::task::spawn_local(rest);
-            return all(ended);
+            return all(if delivered && !served { too_late } else { ended });
         }
-        // The answer for several is the whole of it, and has to be there before the end.
-        let rest = timeout_at(end, rest).await.ok().filter(|_| Instant::now() < end);
-        match rest.flatten() {
-            None => all(Ended { outcome: Outcome::Spoilt, complete: false, allowance: None, ..ended }),
-            Some(body) if delivered => {
+        // The answer for several is the whole of it.
+        let by = if delivered { end } else { Instant::now() + DRAIN };
+        match timeout_at(by, rest).await {
+            Ok(Some(_)) | Err(_) if delivered && Instant::now() >= end => CallEnded { wait, ..all(too_late) },
+            Ok(None) | Err(_) => {
+                let spoilt = Ended { outcome: Outcome::Spoilt, complete: false, allowance: None, ..ended };
+                CallEnded { wait, ..all(spoilt) }
+            }
+            Ok(Some(body)) if delivered => {
                 let states: Vec<State> = serde_json::from_slice(&body).unwrap_or_default();
                 let state = |load: &Load| state_of(&states, &load.id, wait);
                 let each = call.loads.iter().map(state);
                 let each = each.map(|(outcome, complete)| Ended { outcome, complete, ..ended }).collect();
                 CallEnded { each, wait }
             }
-            Some(_) => all(ended),
+            Ok(Some(_)) => all(ended),
         }
     }
 }
@@ -464,6 +470,12 @@
     }
 }
 
+/// Ends at some time, after one turn for the connections: what lies there unread by then is seen first.
+async fn a_turn_after(end: Instant) {
+    sleep_until(end).await;
+    yield_now().await;
+}
+
 async fn send(sender: &mut Sender, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
     sender.ready().await?;
     sender.send_request(request).await
@@ -698,6 +710,12 @@
             let (_, late, each) = call_answered(loads, each_ok, Some(soon)).await;
             let timed_out = |number| (MessageId(number), Outcome::Timeout);
             assert_eq!((late, each), (vec![], vec![timed_out(1), timed_out(2)]));
+            // A wait binds all the same, and what was refused never ran.
+            let soon = Instant::now() + Duration::from_millis(500);
+            let refused = b"HTTP/1.1 429 Later\r\nX-Come-Back-Ms: 900\r\nContent-Length: 0\r\n\r\n";
+            let (_, late, each) = call_answered(vec![load(1, far, soon)], refused, Some(soon)).await;
+            let told = Outcome::Full(Some(Duration::from_millis(900)));
+            assert_eq!((late, each), (vec![], vec![(MessageId(1), told)]));
             // In time, the same answer delivers both.
             let (_, _, each) = call_answered(vec![load(1, far, far), load(2, far, far)], each_ok, None).await;
             assert_eq!(each, [(MessageId(1), Outcome::Ok), (MessageId(2), Outcome::Ok)]);
