Look in a step only at what has changed or come due

A step looked at all that exists: every waiting destination for something to send (send_ready), every call for silence (note_stalls, free_pinned_slot), every route for outages (outages), every address when the list changed.

`agenda.rs` keeps, beside the books, what the next step has to look at: destinations that something happened to, due times in ordered queues (told waits, trials, tokens, gaps, windows; apart from these the moments that change what is known without a send: a silence that opens the circuit, a slow start that is over), thresholds on the free slots for destinations held back by the bulkhead or by trial room, and for each route when its oldest call stalls. What holds for the moment alone (ready and unserved, in a slow start, waiting for a cheaper route, or with unsafe messages held back by losses) is looked at each step, as before. A parked route's tokens are counted up to the last step before anything changes there, so that they are what looks at each step would have made them. Outages are told as they change (`changed_outages`); endpoints that are gone are kept in a set. The agenda is never passed on: a hand-over makes it anew from the books. A token that takes longer than 10 s is no longer asked for every 10 s, but when it is due.

Reports and upkeep go to files of their own below `choice.rs`, plain sums over settings to `books.rs`; no decision has moved. `Courier::work` counts what was looked at.

--- a/src/books.rs
+++ b/src/books.rs
@@ -122,6 +122,8 @@
     pub tokens: f64,
     pub filled: Time,
     pub bound: bool,
+    /// It is not looked at for want of tokens or messages alone: tokens have come in since it was filled.
+    pub filling: bool,
     pub last_cut: Time,
     /// Cuts since the last success.
     pub cuts: usize,
@@ -146,6 +148,21 @@
     pub out: BTreeSet<u64>,
 }
 
+impl Route {
+    /// Puts in the tokens that have come since it was filled last.
+    pub fn fill(&mut self, now: Time, rate: f64, burst: f64) {
+        self.tokens = (self.tokens + (now - self.filled).as_secs_f64() * rate).min(burst);
+        self.filled = now;
+    }
+
+    /// Puts in what a look at that time would have put in, had there been one.
+    pub fn settle(&mut self, last_round: Time, burst: f64) {
+        if std::mem::take(&mut self.filling) && self.filled < last_round {
+            self.fill(last_round, self.rate, burst);
+        }
+    }
+}
+
 /// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
 /// one courier meets each partner too seldom to learn it there.
 #[derive(Default, Serialize, Deserialize)]
@@ -169,3 +186,30 @@
         }
     }
 }
+
+/// Couriers that share the destinations: an even part is one over this.
+pub fn couriers(settings: &Settings) -> f64 {
+    f64::from(settings.couriers.max(1))
+}
+
+/// A gap that doubles from try to try.
+pub fn growing_gap(unit: Duration, first: f64, tries: u32) -> Duration {
+    unit.mul_f64(first * f64::from(tries.min(16)).exp2())
+}
+
+/// Shortest aim of a class, in seconds.
+pub fn shortest_aim(settings: &Settings) -> f64 {
+    let aim = settings.classes.iter().map(|c| c.aim).min();
+    aim.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(0.001)
+}
+
+/// Shortest deadline of a class, in seconds.
+pub fn shortest_deadline(settings: &Settings) -> f64 {
+    let deadline = settings.classes.iter().map(|c| c.deadline).min();
+    deadline.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(1.0)
+}
+
+/// How long a cold return lasts, in seconds.
+pub fn cold_s(settings: &Settings) -> f64 {
+    settings.rules.cold.as_secs_f64().max(1.0)
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,12 +5,16 @@
 //! destination with the fewest calls out; a message whose attempt may have run goes again under its one key,
 //! inside group, window and attempt limit, after a full-jitter exponential gap. All else guards that path.
 
+use crate::agenda::{earliest, Agenda, Look};
 use crate::books::*;
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+mod reports;
+mod upkeep;
+
 // ---- Tuned values ----
 
 /// First gap before a repeat, as a part of the class's aim: short enough to leave time for several on time.
@@ -79,6 +83,9 @@
 const LATE_S: f64 = 1.0;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
 const BURST_S: f64 = 0.4;
+/// A token is waited for at least and at most so many seconds at a time.
+const TOKEN_GAPS: (f64, f64) = (0.001, 3600.0);
+const ROUNDING: Duration = Duration::from_micros(1);
 /// Part of a tenant's quota assumed to be this courier's, in even parts; traffic is not even.
 const QUOTA_PART: f64 = 1.25;
 /// Weight of what waiting for one more aim would lose, against the worth itself.
@@ -165,6 +172,8 @@
     watch_at: Option<Time>,
     /// When this courier ends, if that is known.
     closing: Option<Time>,
+    /// When all that waits was last looked at, or need not be.
+    last_round: Time,
     /// Endpoints that operators leave out, listed or not.
     detached: BTreeSet<EndpointId>,
     /// Since when operators have been emptying the courier.
@@ -175,6 +184,9 @@
     /// What is to be done, until `decide` hands it over.
     #[serde(skip)]
     actions: Vec<Action>,
+    /// What the next steps have to look at.
+    #[serde(skip)]
+    agenda: Agenda,
 }
 
 impl Courier {
@@ -188,18 +200,9 @@
     /// Goes on in another process, in the place of a `fresh` courier with the same settings: nothing that
     /// happened is forgotten but that the old process is to end.
     pub fn resumed(self, fresh: Courier) -> Self {
-        Courier { settings: fresh.settings, rng: fresh.rng, closing: None, ..self }
-    }
-
-    /// The waits that were told and are not over, by one endpoint of each route.
-    pub fn waits(&self, now: Time) -> impl Iterator<Item = (EndpointId, Duration)> + '_ {
-        let waiting = self.routes.values().filter(move |route| route.told_wait > now);
-        waiting.filter_map(move |route| Some((*route.endpoints.first()?, route.told_wait - now)))
-    }
-
-    /// Whether operators are emptying it.
-    pub fn is_lame(&self) -> bool {
-        self.lame_since.is_some()
+        let mut courier = Courier { settings: fresh.settings, rng: fresh.rng, closing: None, ..self };
+        courier.rebuild_agenda();
+        courier
     }
 
     /// Records one event. Call [`Courier::decide`] after the last one of a batch.
@@ -216,7 +219,7 @@
                 }
                 self.forget_if_over(id);
             }
-            Event::Closing(at) => self.closing = Some(at),
+            Event::Closing(at) => self.closing = (at < Time(u64::MAX)).then_some(at),
             Event::Detach(endpoint) => self.on_detach(endpoint),
             Event::Attach(endpoint) => self.on_attach(now, endpoint),
             Event::LameDuck(on) => self.lame_since = on.then(|| self.lame_since.unwrap_or(now)),
@@ -228,20 +231,6 @@
         }
     }
 
-    /// What is to be remembered of outages over a restart.
-    pub fn outages(&self) -> impl Iterator<Item = Outage> + '_ {
-        let noted = |route: &Route| route.evidence > 0 || route.spell.is_some() || route.returned.is_some();
-        self.routes.iter().filter(move |(_, route)| noted(route)).map(|(id, route)| Outage {
-            destination: id.0,
-            endpoint: id.1,
-            since: route.spell.as_ref().map_or(route.last_answer, |spell| spell.began),
-            evidence: route.evidence,
-            lost: route.spell.as_ref().map(|spell| spell.lost),
-            returned: route.returned,
-            share: route.share,
-        })
-    }
-
     /// When a client does well to come again with a message for this destination: what waits there has to go
     /// out first, and a told wait to pass.
     pub fn come_back(&mut self, now: Time, to: DestinationId) -> Duration {
@@ -279,20 +268,6 @@
         WATCH_FIRST.mul_f64(couriers(&self.settings)).min(longest).mul_f64(self.rng.f64())
     }
 
-    /// The destination with the longest queue, how many wait there, and what holds them up.
-    pub fn longest_queue(&mut self, now: Time) -> Option<(DestinationId, usize, Vec<RouteState>)> {
-        let (to, queue) = self.queues.iter().max_by_key(|(_, queue)| queue.len())?;
-        let (to, waiting) = (*to, queue.len());
-        let routes: Vec<RouteId> = self.routes.range(routes_of(to)).map(|(id, _)| *id).collect();
-        let state = |id: RouteId| {
-            let pace = self.pace(now, id);
-            let route = &self.routes[&id];
-            let (wait, sick) = (route.told_wait - now, route.spell.is_some());
-            RouteState { endpoint: id.1, out: route.out.len(), pace, wait, sick }
-        };
-        Some((to, waiting, routes.into_iter().map(state).collect()))
-    }
-
     /// Acts on all that was recorded.
     pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.answer_due(now);
@@ -327,13 +302,23 @@
                 for address in self.addresses.values_mut() {
                     address.entry.mode = Mode::Gone;
                 }
+                self.agenda.gone = self.addresses.keys().copied().collect();
+                self.agenda.all = true;
                 entries
             }
         };
+        self.agenda.work.endpoints += entries.len() as u64;
         for entry in entries {
-            if entry.mode == Mode::Gone && !self.addresses.contains_key(&entry.id) {
+            let known = self.addresses.get(&entry.id).map(|address| address.entry.destination);
+            if entry.mode == Mode::Gone && known.is_none() {
                 continue;
             }
+            known.into_iter().chain([entry.destination]).for_each(|to| self.touch(to));
+            if entry.mode == Mode::Gone {
+                self.agenda.gone.insert(entry.id);
+            } else {
+                self.agenda.gone.remove(&entry.id);
+            }
             let weight = self.weight_of(&entry);
             let usual = self.usual;
             let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
@@ -357,8 +342,9 @@
             let address = Address { entry, calls_out: 0, preference, failures: 0, avoid_until, used: None };
             self.addresses.insert(id, address);
         }
-        let over = self.addresses.values().filter(|a| a.entry.mode == Mode::Gone && a.calls_out == 0);
-        for id in over.map(|a| a.entry.id).collect::<Vec<_>>() {
+        self.agenda.work.endpoints += self.agenda.gone.len() as u64;
+        let over = |id: &&EndpointId| self.addresses.get(id).is_none_or(|a| a.calls_out == 0);
+        for id in self.agenda.gone.iter().filter(over).copied().collect::<Vec<_>>() {
             self.forget_address(id);
         }
     }
@@ -371,19 +357,6 @@
         earliest(next, self.watch_at);
     }
 
-    /// Forgets an endpoint that is gone and has no call out. What was learnt of its destination stays, except
-    /// where it was a route of its own.
-    fn forget_address(&mut self, id: EndpointId) {
-        let Some(address) = self.addresses.remove(&id) else { return };
-        let route_id = self.route_of(&address.entry);
-        if let Some(route) = self.routes.get_mut(&route_id) {
-            route.endpoints.retain(|endpoint| *endpoint != id);
-            if route_id.1.is_some() {
-                self.routes.remove(&route_id);
-            }
-        }
-    }
-
     fn on_accept(&mut self, now: Time, taken: Accepted) {
         let over_share = self.is_over_share(now, taken.tenant);
         let Some(message) = self.new_message(now, taken, over_share) else { return };
@@ -394,6 +367,7 @@
         self.deadlines.insert((taken.deadline, taken.id));
         self.queues.entry(taken.destination).or_default().push(taken.id);
         self.open += 1;
+        self.touch(message.taken.destination);
         self.note_demand(now, message.taken.destination);
         self.messages.insert(message.taken.id, message);
     }
@@ -427,6 +401,7 @@
     fn on_restored(&mut self, now: Time, restored: Restored) {
         let id = restored.taken.id;
         self.keys_rest = now + self.settings.rules.order_settle;
+        self.agenda.all = true;
         self.on_accept(now, restored.taken);
         let Some(message) = self.messages.get_mut(&id) else { return };
         message.attempts = restored.attempts;
@@ -442,8 +417,11 @@
     }
 
     fn on_recalled(&mut self, now: Time, outage: Outage) {
+        self.touch(outage.destination);
         let (settings, chance) = (&self.settings, self.rng.f64());
-        let Some(route) = self.routes.get_mut(&RouteId(outage.destination, outage.endpoint)) else { return };
+        let id = RouteId(outage.destination, outage.endpoint);
+        let Some(route) = self.routes.get_mut(&id) else { return };
+        self.agenda.outages.insert(id);
         (route.last_answer, route.evidence) = (outage.since, outage.evidence);
         (route.returned, route.share) = (outage.returned, outage.share);
         if route.returned.is_some() {
@@ -473,14 +451,17 @@
     }
 
     fn on_told_wait(&mut self, now: Time, endpoint: EndpointId, wait: Duration) {
-        let route = self.addresses.get(&endpoint).map(|a| self.route_of(&a.entry));
-        if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
+        let Some(id) = self.addresses.get(&endpoint).map(|a| self.route_of(&a.entry)) else { return };
+        self.touch(id.0);
+        if let Some(route) = self.routes.get_mut(&id) {
             route.told_wait = route.told_wait.max(now + wait);
         }
     }
 
     fn on_detach(&mut self, endpoint: EndpointId) {
         if self.detached.insert(endpoint) {
+            let to = self.addresses.get(&endpoint).map(|address| address.entry.destination);
+            to.into_iter().for_each(|to| self.touch(to));
             self.actions.push(Action::CloseIdle { endpoint });
         }
     }
@@ -493,8 +474,12 @@
         }
         let Some(address) = self.addresses.get_mut(&endpoint) else { return };
         (address.failures, address.avoid_until, address.used) = (0, now, None);
-        let id = self.addresses.get(&endpoint).map(|address| self.route_of(&address.entry));
-        if let Some(route) = id.and_then(|id| self.routes.get_mut(&id)) {
+        let Some(id) = self.addresses.get(&endpoint).map(|address| self.route_of(&address.entry)) else {
+            return;
+        };
+        self.touch(id.0);
+        if let Some(route) = self.routes.get_mut(&id) {
+            self.agenda.outages.insert(id);
             (route.spell, route.evidence, route.returned) = (None, 0, Some(now));
             (route.filled, route.tokens) = (now, 0.0);
         }
@@ -513,6 +498,9 @@
         }
         let Some(message) = self.messages.get_mut(&finished.message) else { return };
         let Some(call_id) = message.out.take() else { return };
+        let to = message.taken.destination;
+        self.touch(to);
+        let Some(message) = self.messages.get_mut(&finished.message) else { return };
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         let class = &self.settings.classes[usize::from(message.taken.class.0)];
         let never_ran = finished.outcome.never_ran();
@@ -564,6 +552,7 @@
         if let Some(route) = self.routes.get_mut(&call.route) {
             route.out.remove(&id);
         }
+        self.agenda.hanging.remove(&id);
         let lost = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         let risk =
             call.idle.and_then(|idle| self.idle_step(idle)).map_or(0.0, |step| self.reaping.risks[step]);
@@ -596,9 +585,14 @@
                 self.forget_address(call.to);
             }
         }
+        let noted = self.is_noted(call.route);
         if !reaped {
             self.learn(now, finished, &call);
         }
+        if noted || self.is_noted(call.route) {
+            self.agenda.outages.insert(call.route);
+        }
+        self.plan_stall(call.route);
     }
 
     /// A loss on an idle connection speaks for connections that are dropped unseen, an answer on one that was
@@ -729,18 +723,17 @@
 
     /// Marks the calls that have been silent for too long, and says when the next one will have been.
     fn note_stalls(&mut self, now: Time) -> Option<Time> {
-        let mut next = None;
-        for id in self.calls.iter().filter(|(_, call)| !call.stalled).map(|(id, _)| *id).collect::<Vec<_>>() {
-            let at = self.calls[&id].sent + self.stall_patience(self.calls[&id].route);
-            if at > now {
-                earliest(&mut next, Some(at));
-            } else if let Some(call) = self.calls.get_mut(&id) {
+        while let Some(id) = self.agenda.stalls.due(now) {
+            let call = self.oldest_not_stalled(id).and_then(|call| Some((call, self.calls.get_mut(&call)?)));
+            if let Some((call_id, call)) = call {
                 call.stalled = true;
                 let idle = call.idle;
+                self.agenda.hanging.insert(call_id);
                 self.learn_of_idle(now, idle, true, false);
             }
+            self.plan_stall(id);
         }
-        next
+        self.agenda.stalls.first()
     }
 
     fn stall_patience(&self, id: RouteId) -> Duration {
@@ -748,15 +741,21 @@
         Duration::from_secs_f64(usual.max(shortest_aim(&self.settings) * STALL_AIM))
     }
 
-    /// When a route may take one more call: now, later, or only after some outcome (none).
-    fn route_free_at(&mut self, now: Time, id: RouteId) -> Option<Time> {
+    /// When a route may take one more call: now, later, or only after some outcome (none). What else would
+    /// change that goes to `look`.
+    fn route_free_at(&mut self, now: Time, id: RouteId, look: &mut Look) -> Option<Time> {
         let stall = self.stall_patience(id);
         let slots_free = self.slots_free();
         let rate = self.pace(now, id);
+        let cold = Duration::from_secs_f64(cold_s(&self.settings));
         let route = self.routes.get_mut(&id)?;
+        route.filling = false;
         if route.told_wait > now {
+            earliest(&mut look.change, route.returned.map(|returned| returned + cold));
             return Some(route.told_wait);
         }
+        // A slow start speeds up from moment to moment.
+        look.always |= route.returned.is_some();
         if self.closing.is_some_and(|end| now + stall > end) {
             return None;
         }
@@ -764,27 +763,37 @@
         // time-out would, so that only few calls are risked.
         let oldest = route.out.first().and_then(|call| self.calls.get(call)).map(|call| call.sent);
         if let (None, Some(sent)) = (&route.spell, oldest) {
-            if now - sent.max(route.last_answer) >= stall {
+            let silent = sent.max(route.last_answer) + stall;
+            if now >= silent {
                 let (began, next_trial) = (route.last_answer.min(sent), now + stall);
                 route.spell = Some(Spell { began, next_trial, lost: true, ..Spell::default() });
+                self.agenda.outages.insert(id);
+            } else {
+                earliest(&mut look.change, Some(silent));
             }
         }
         if let Some(spell) = &route.spell {
             // Trials that hang must not gather until they pin the slots of the healthy.
-            let room = ((slots_free as f64 * TRIAL_SLOTS) as usize).max(1);
-            return (route.out.len() < room).then_some(spell.next_trial);
+            let least = ((route.out.len() + 1) as f64 / TRIAL_SLOTS).ceil() as usize;
+            let free = route.out.is_empty() || look.needs_slots(least, slots_free);
+            return free.then_some(spell.next_trial);
         }
         // Bulkhead: no destination has more calls out than slots are left for all others.
-        if !route.out.is_empty() && route.out.len() >= slots_free.max(1) {
+        if !route.out.is_empty() && !look.needs_slots(route.out.len() + 1, slots_free) {
             return None;
         }
-        let burst = if route.returned.is_some() { 1.0 } else { (rate * BURST_S).max(1.0) };
-        let passed = (now - route.filled).as_secs_f64();
-        route.tokens = (route.tokens + passed * rate).min(burst);
-        route.filled = now;
+        let burst = if route.returned.is_some() { 1.0 } else { burst(rate) };
+        route.fill(now, rate, burst);
+        route.filling = true;
         route.bound = route.tokens < 1.0;
         if route.bound {
-            return Some(now + Duration::from_secs_f64(((1.0 - route.tokens) / rate).clamp(0.001, 10.0)));
+            let left = (1.0 - route.tokens) / rate;
+            let gap = left.clamp(TOKEN_GAPS.0, TOKEN_GAPS.1);
+            let due = now + Duration::from_secs_f64(gap);
+            // Looked at a little before, as sums round; and at each step where the gap is not the true one.
+            look.always |= gap != left;
+            earliest(&mut look.change, Some(due - ROUNDING));
+            return Some(due);
         }
         Some(now)
     }
@@ -796,6 +805,7 @@
         let warmth = (now - returned).as_secs_f64() / cold_s(&self.settings);
         if warmth >= 1.0 {
             route.returned = None;
+            self.agenda.outages.insert(id);
             return route.rate;
         }
         route.fall_part(now, &self.settings, warmth).min(route.rate)
@@ -806,12 +816,18 @@
     /// Fills free slots: each to the waiting destination with fewest calls out; of those with equally many,
     /// to the one whose best message is worth most for its time. `next` tells when to look again.
     fn send_ready(&mut self, now: Time, next: &mut Option<Time>) {
+        if self.slots_free() == 0 {
+            return;
+        }
+        let mut due = self.agenda.due(now, self.slots_free());
+        if self.closing.is_some() || std::mem::take(&mut self.agenda.all) {
+            due.extend(self.queues.keys());
+        }
         let mut ready: Vec<(DestinationId, f64)> = Vec::new();
-        if self.slots_free() > 0 {
-            for to in self.queues.keys().copied().collect::<Vec<_>>() {
-                ready.extend(self.candidate(now, to, next).map(|(.., value)| (to, value)));
-            }
+        for to in due {
+            ready.extend(self.look_at(now, to, next).map(|(.., value)| (to, value)));
         }
+        earliest(next, self.agenda.next_wake());
         while self.slots_free() > 0 {
             let order = |a: &(DestinationId, f64), b: &(DestinationId, f64)| {
                 self.calls_to(a.0).cmp(&self.calls_to(b.0)).then(b.1.total_cmp(&a.1))
@@ -819,10 +835,11 @@
             let Some(place) = (0..ready.len()).min_by(|a, b| order(&ready[*a], &ready[*b])) else { break };
             // Slots have gone since: what was free may not be so now.
             let (to, _) = ready.swap_remove(place);
-            let Some((route, endpoint, message, _)) = self.candidate(now, to, next) else { continue };
+            let Some((route, endpoint, message, _)) = self.look_at(now, to, next) else { continue };
             self.send_call(now, route, endpoint, message);
-            ready.extend(self.candidate(now, to, next).map(|(.., value)| (to, value)));
+            ready.extend(self.look_at(now, to, next).map(|(.., value)| (to, value)));
         }
+        self.last_round = now;
     }
 
     fn calls_to(&self, destination: DestinationId) -> usize {
@@ -830,17 +847,17 @@
     }
 
     /// The best message of a destination that may be sent now, by which route and endpoint, and its worth for
-    /// the time that a slot is taken; if none, `next` tells when that may be.
-    fn candidate(&mut self, now: Time, to: DestinationId, next: &mut Option<Time>) -> Option<Candidate> {
+    /// the time that a slot is taken; if none, `look` tells when that may be.
+    fn candidate(&mut self, now: Time, to: DestinationId, look: &mut Look) -> Option<Candidate> {
         let mut routes: Vec<(f64, RouteId)> =
             self.routes.range(routes_of(to)).map(|(id, _)| (self.fee(*id), *id)).collect();
         routes.sort_by(|a, b| a.0.total_cmp(&b.0));
         // The cheapest route that is sound but not free now: its fee, when it is free, messages a second.
         let mut cheaper: Option<(f64, Time, f64)> = None;
         for (fee, route) in routes {
-            let free = self.route_free_at(now, route);
+            let free = self.route_free_at(now, route, look);
             if free.is_none_or(|at| at > now) {
-                earliest(next, free);
+                earliest(&mut look.wake, free);
                 let pace = self.pace(now, route);
                 let ready = |e: &EndpointId| self.addresses.get(e).is_some_and(|a| self.is_open(a));
                 let sound =
@@ -853,7 +870,7 @@
             }
             let open = self.routes[&route].endpoints.iter().filter_map(|e| self.addresses.get(e));
             let zones: Vec<_> = open.filter(|a| self.is_open(a)).map(|a| a.entry.zone).collect();
-            let Some((message, worth)) = self.pick(now, route, &zones, next) else { continue };
+            let Some((message, worth)) = self.pick(now, route, &zones, look) else { continue };
             if let Some((_, at, pace)) = cheaper.filter(|(least, ..)| *least < fee) {
                 // Only if all that waits can go that way in time: else what this route could take is lost.
                 let queue = self.queues.get(&to).map_or(0, Vec::len) as f64;
@@ -861,7 +878,8 @@
                     at + Duration::from_secs_f64((queue / pace.max(0.001)).min(cold_s(&self.settings)));
                 let m = self.messages.get(&message);
                 if m.is_some_and(|m| served < m.born + self.class(m).aim.mul_f64(FEE_PATIENCE_OF_AIM)) {
-                    earliest(next, Some(at));
+                    // Which message is best, and so how long it may wait, goes by the moment.
+                    (look.always, look.wake) = (true, look.wake.into_iter().chain([at]).min());
                     continue;
                 }
             }
@@ -880,24 +898,25 @@
     }
 
     /// The waiting message of most worth that may go to these locations now. A trial goes by repeatability.
-    fn pick(&mut self, now: Time, route: RouteId, zones: &[ZoneId], next: &mut Option<Time>) -> Picked {
+    fn pick(&mut self, now: Time, route: RouteId, zones: &[ZoneId], look: &mut Look) -> Picked {
         let trial = self.routes.get(&route).is_some_and(|r| r.spell.is_some());
         // What is lost on all routes alike is no reason to wait.
         let bearable = UNSAFE_LOSS + self.reaping.other;
         let loses = self.routes.get_mut(&route).is_some_and(|r| r.share_lost(now, &self.settings) > bearable);
         let mut best: Option<(bool, f64, MessageId)> = None;
+        self.agenda.work.messages += self.queues.get(&route.0).map_or(0, Vec::len) as u64;
         let going = |m: &&Message| zones.iter().any(|zone| self.may_go(m, *zone));
         let queue = self.queues.get(&route.0).into_iter().flatten();
         for message in queue.filter_map(|m| self.messages.get(m)).filter(going) {
             let at = self.sendable_at(now, message);
             if at.is_none_or(|at| at > now) {
-                earliest(next, at);
+                earliest(&mut look.wake, at);
                 continue;
             }
             let last_try = message.taken.deadline - self.class(message).aim.mul_f64(UNSAFE_LAST_AIM);
             if loses && !self.repeatable(message) && now < last_try {
                 let fading = now + self.settings.rules.fall.mul_f64(UNSAFE_LOSS_FALLS * UNSAFE_LOSS);
-                earliest(next, Some(fading.min(last_try)));
+                (look.always, look.wake) = (true, look.wake.into_iter().chain([fading.min(last_try)]).min());
                 continue;
             }
             let fit = !trial || self.repeatable(message);
@@ -1019,12 +1038,13 @@
             next = if carried.len() == room {
                 None
             } else {
-                self.pick(now, id, &[zone], &mut None).map(|(m, _)| m)
+                self.pick(now, id, &[zone], &mut Look::default()).map(|(m, _)| m)
             };
         }
         let (route, sent, unanswered, stalled, called_off) = (id, now, carried.len(), false, false);
         let call = Call { route, to, zone, sent, carried, unanswered, idle, stalled, called_off };
         self.calls.insert(self.last_call, call);
+        self.plan_stall(id);
     }
 
     /// How long the connection has been idle that the next call to an endpoint would use. Where idle ones are
@@ -1075,13 +1095,16 @@
         if !self.settings.cancel || self.slots_free() > 0 || self.open <= self.calls.len() {
             return;
         }
-        let hanging = |call: &Call| {
+        let hanging = |call: &&Call| {
             let mut carried = call.carried.iter().filter_map(|m| self.messages.get(m));
             let safe = carried.all(|m| self.repeatable(m));
             let patience = self.stall_patience(call.route) * if safe { 1 } else { UNSAFE_PATIENCE };
-            !call.called_off && now - call.sent > patience
+            now - call.sent > patience
         };
-        let Some(id) = self.calls.iter().find(|(_, call)| hanging(call)).map(|(id, _)| *id) else { return };
+        // One that hangs is stalled first.
+        let mut stalled = self.agenda.hanging.iter().filter_map(|id| Some((*id, self.calls.get(id)?)));
+        let Some((id, _)) = stalled.find(|(_, call)| hanging(call)) else { return };
+        self.agenda.hanging.remove(&id);
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.called_off = true;
         for message in &call.carried {
@@ -1151,26 +1174,6 @@
             .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.taken.id.cmp(&a.1.taken.id)))
     }
 
-    fn close(&mut self, id: MessageId) {
-        if let Some(message) = self.messages.get_mut(&id).filter(|m| !m.closed) {
-            message.closed = true;
-            self.open -= 1;
-            self.deadlines.remove(&(message.taken.deadline, id));
-            remove_from(&mut self.queues, message.taken.destination, id);
-        }
-        self.forget_if_over(id);
-    }
-
-    /// A message is forgotten once it is answered and has nothing out; until then its key stays taken.
-    fn forget_if_over(&mut self, id: MessageId) {
-        if self.messages.get(&id).is_none_or(|m| !m.closed || m.unheard || m.out.is_some()) {
-            return;
-        }
-        if let Some(key) = self.messages.remove(&id).and_then(|m| m.taken.key) {
-            remove_from(&mut self.keys, key, id);
-        }
-    }
-
     // ---- Settings and timers ----
 
     fn route_of(&self, entry: &Endpoint) -> RouteId {
@@ -1209,6 +1212,10 @@
     RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
 }
 
+fn burst(rate: f64) -> f64 {
+    (rate * BURST_S).max(1.0)
+}
+
 impl Route {
     /// Whether this courier has too few messages here for a figure of its own (`LIGHT`).
     fn is_light(&mut self, now: Time, settings: &Settings) -> bool {
@@ -1248,38 +1255,7 @@
     }
 }
 
-/// Couriers that share the destinations: an even part is one over this.
-fn couriers(settings: &Settings) -> f64 {
-    f64::from(settings.couriers.max(1))
-}
-
 /// Until when a keyed message may be resent that may first have run in an attempt sent then.
 fn window_end(class: &Class, first: Time) -> Time {
     first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN)
 }
-
-fn earliest(next: &mut Option<Time>, at: Option<Time>) {
-    *next = [*next, at].into_iter().flatten().min();
-}
-
-/// A gap that doubles from try to try.
-fn growing_gap(unit: Duration, first: f64, tries: u32) -> Duration {
-    unit.mul_f64(first * f64::from(tries.min(16)).exp2())
-}
-
-/// Shortest aim of a class, in seconds.
-fn shortest_aim(settings: &Settings) -> f64 {
-    let aim = settings.classes.iter().map(|c| c.aim).min();
-    aim.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(0.001)
-}
-
-/// Shortest deadline of a class, in seconds.
-fn shortest_deadline(settings: &Settings) -> f64 {
-    let deadline = settings.classes.iter().map(|c| c.deadline).min();
-    deadline.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(1.0)
-}
-
-/// How long a cold return lasts, in seconds.
-fn cold_s(settings: &Settings) -> f64 {
-    settings.rules.cold.as_secs_f64().max(1.0)
-}
--- /dev/null
+++ b/src/choice/upkeep.rs
@@ -0,0 +1,115 @@
+//! Keeps the books and the agenda in step: what a change touches, what is over and can be forgotten. It decides
+//! nothing.
+
+use super::*;
+
+impl Courier {
+    /// What may be sent to a destination now. If nothing may, it is not looked at again before that changes.
+    pub(super) fn look_at(
+        &mut self,
+        now: Time,
+        to: DestinationId,
+        next: &mut Option<Time>,
+    ) -> Option<Candidate> {
+        if !self.queues.contains_key(&to) {
+            self.agenda.forget(to);
+            return None;
+        }
+        let mut look = Look::default();
+        let found = self.candidate(now, to, &mut look);
+        earliest(next, look.wake);
+        self.agenda.work.destinations += 1;
+        if found.is_none() && !look.always {
+            self.agenda.park(to, &look);
+        } else {
+            self.agenda.touch(to);
+            self.routes.range_mut(routes_of(to)).for_each(|(_, route)| route.filling = false);
+        }
+        found
+    }
+
+    /// Something has changed at a destination. Until the last look its routes were as they had been parked.
+    pub(super) fn touch(&mut self, to: DestinationId) {
+        self.agenda.touch(to);
+        for (_, route) in self.routes.range_mut(routes_of(to)) {
+            route.settle(self.last_round, burst(route.rate));
+        }
+    }
+
+    /// The calls of a route stall in the order in which they were sent.
+    pub(super) fn oldest_not_stalled(&mut self, id: RouteId) -> Option<u64> {
+        let calls = self.routes.get(&id)?.out.iter();
+        let waiting = |call: &&u64| self.calls.get(call).is_some_and(|call| !call.stalled);
+        let (skipped, found) = calls.enumerate().find(|(_, call)| waiting(call))?;
+        self.agenda.work.calls += 1 + skipped as u64;
+        Some(*found)
+    }
+
+    pub(super) fn plan_stall(&mut self, id: RouteId) {
+        let sent = self.oldest_not_stalled(id).map(|call| self.calls[&call].sent);
+        let at = sent.map(|sent| sent + self.stall_patience(id));
+        self.agenda.stalls.set(id, at);
+    }
+
+    /// Makes the agenda anew from the books: all is to be looked at.
+    pub(super) fn rebuild_agenda(&mut self) {
+        self.routes.values_mut().for_each(|route| route.settle(self.last_round, burst(route.rate)));
+        self.agenda = Agenda::default();
+        self.agenda.all = true;
+        let hanging = self.calls.iter().filter(|(_, call)| call.stalled && !call.called_off);
+        self.agenda.hanging = hanging.map(|(id, _)| *id).collect();
+        let gone = self.addresses.values().filter(|address| address.entry.mode == Mode::Gone);
+        self.agenda.gone = gone.map(|address| address.entry.id).collect();
+        self.agenda.outages = self.routes.keys().copied().filter(|id| self.is_noted(*id)).collect();
+        let calling = self.routes.iter().filter(|(_, route)| !route.out.is_empty());
+        calling.map(|(id, _)| *id).collect::<Vec<_>>().into_iter().for_each(|id| self.plan_stall(id));
+    }
+
+    /// Whether something of a route is to be remembered over a restart.
+    pub(super) fn is_noted(&self, id: RouteId) -> bool {
+        let noted = |route: &Route| route.evidence > 0 || route.spell.is_some() || route.returned.is_some();
+        self.routes.get(&id).is_some_and(noted)
+    }
+
+    /// Forgets an endpoint that is gone and has no call out. What was learnt of its destination stays, except
+    /// where it was a route of its own.
+    pub(super) fn forget_address(&mut self, id: EndpointId) {
+        self.agenda.gone.remove(&id);
+        let Some(address) = self.addresses.remove(&id) else { return };
+        self.touch(address.entry.destination);
+        let route_id = self.route_of(&address.entry);
+        if let Some(route) = self.routes.get_mut(&route_id) {
+            route.endpoints.retain(|endpoint| *endpoint != id);
+            if route_id.1.is_some() {
+                self.routes.remove(&route_id);
+                self.plan_stall(route_id);
+                self.agenda.outages.insert(route_id);
+            }
+        }
+    }
+
+    pub(super) fn close(&mut self, id: MessageId) {
+        if let Some(message) = self.messages.get_mut(&id).filter(|m| !m.closed) {
+            message.closed = true;
+            self.open -= 1;
+            self.deadlines.remove(&(message.taken.deadline, id));
+            let to = message.taken.destination;
+            remove_from(&mut self.queues, to, id);
+            self.touch(to);
+        }
+        self.forget_if_over(id);
+    }
+
+    /// A message is forgotten once it is answered and has nothing out; until then its key stays taken.
+    pub(super) fn forget_if_over(&mut self, id: MessageId) {
+        if self.messages.get(&id).is_none_or(|m| !m.closed || m.unheard || m.out.is_some()) {
+            return;
+        }
+        if let Some(key) = self.messages.remove(&id).and_then(|m| m.taken.key) {
+            remove_from(&mut self.keys, key, id);
+            // The next of its key has its turn now, wherever it goes.
+            let next = self.keys.get(&key).and_then(|turn| self.messages.get(turn.first()?));
+            next.map(|m| m.taken.destination).into_iter().for_each(|to| self.touch(to));
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -340,6 +340,17 @@
     pub share: f64,
 }
 
+/// What is to be remembered of one route now; nothing where the outage is over or its endpoint is gone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChangedOutage {
+    /// Where.
+    pub destination: DestinationId,
+    /// One endpoint of it, where its endpoints are separate routes.
+    pub endpoint: Option<EndpointId>,
+    /// What is to be remembered.
+    pub outage: Option<Outage>,
+}
+
 /// Why a route takes no more than it does, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RouteState {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,11 +28,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod agenda;
 mod books;
 mod choice;
 mod interface;
 mod settings;
 
+pub use agenda::Work;
 pub use choice::{Courier, WATCH_PATIENCE};
 pub use interface::*;
 pub use settings::{parse_settings, parse_settings_json, Parsed, SettingError};
