Count a parked route's tokens also where it is held back before it fills

It is settled first now, and a token that is nearer than the shortest gap is looked at at each step.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -85,7 +85,6 @@
 const BURST_S: f64 = 0.4;
 /// A token is waited for at least and at most so many seconds at a time.
 const TOKEN_GAPS: (f64, f64) = (0.001, 3600.0);
-const ROUNDING: Duration = Duration::from_micros(1);
 /// Part of a tenant's quota assumed to be this courier's, in even parts; traffic is not even.
 const QUOTA_PART: f64 = 1.25;
 /// Weight of what waiting for one more aim would lose, against the worth itself.
@@ -749,7 +748,7 @@
         let rate = self.pace(now, id);
         let cold = Duration::from_secs_f64(cold_s(&self.settings));
         let route = self.routes.get_mut(&id)?;
-        route.filling = false;
+        route.settle(self.last_round, burst(route.rate));
         if route.told_wait > now {
             earliest(&mut look.change, route.returned.map(|returned| returned + cold));
             return Some(route.told_wait);
@@ -790,9 +789,9 @@
             let left = (1.0 - route.tokens) / rate;
             let gap = left.clamp(TOKEN_GAPS.0, TOKEN_GAPS.1);
             let due = now + Duration::from_secs_f64(gap);
-            // Looked at a little before, as sums round; and at each step where the gap is not the true one.
+            // What is nearer or further than a gap may be is looked at at each step.
             look.always |= gap != left;
-            earliest(&mut look.change, Some(due - ROUNDING));
+            earliest(&mut look.change, Some(due - Duration::from_secs_f64(TOKEN_GAPS.0)));
             return Some(due);
         }
         Some(now)
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -22,8 +22,7 @@
         if found.is_none() && !look.always {
             self.agenda.park(to, &look);
         } else {
-            self.agenda.touch(to);
-            self.routes.range_mut(routes_of(to)).for_each(|(_, route)| route.filling = false);
+            self.touch(to);
         }
         found
     }
