--- a/src/books.rs
+++ b/src/books.rs
@@ -1,6 +1,7 @@
 //! What a courier keeps in mind: types and sums only. Every decision and tuned value is in `choice.rs`.
 
 use crate::interface::*;
+use crate::queue::Seq;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -9,6 +10,8 @@
 #[derive(Serialize, Deserialize)]
 pub struct Message {
     pub taken: Accepted,
+    /// Its place in the queue of its destination.
+    pub seq: Seq,
     pub born: Time,
     pub attempts: u32,
     /// The call that carries it now.
@@ -148,6 +151,28 @@
     pub out: BTreeSet<u64>,
 }
 
+impl Class {
+    /// What is left of the worth of a message at some age, in seconds, as a share; and the stage that it is in, which
+    /// grows with age: inside one, the share only falls or stays.
+    pub(crate) fn value(&self, decay: Decay, age: f64) -> (f64, usize) {
+        let (aim, span) = (self.aim.as_secs_f64(), self.deadline.as_secs_f64());
+        if age > span {
+            return (0.0, VALUE_STAGES - 1);
+        }
+        let late = (age - aim).max(0.0);
+        let (value, least) = match decay {
+            Decay::Line => {
+                (1.0 - (1.0 - self.late_share) * late / (span - aim).max(0.001), f64::NEG_INFINITY)
+            }
+            Decay::Halves => ((-late / aim.max(0.001)).exp2(), self.late_share),
+        };
+        (value.max(least), usize::from(late > 0.0) + usize::from(value <= least))
+    }
+}
+
+/// On time, late, at its least, over.
+pub const VALUE_STAGES: usize = 4;
+
 impl Route {
     /// Puts in the tokens that have come since it was filled last.
     pub fn fill(&mut self, now: Time, rate: f64, burst: f64) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,6 +8,7 @@
 use crate::agenda::{earliest, Agenda, Look};
 use crate::books::*;
 use crate::interface::*;
+use crate::queue::{Queue, Seq};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -153,7 +154,8 @@
     addresses: BTreeMap<EndpointId, Address>,
     routes: BTreeMap<RouteId, Route>,
     /// Messages not answered, by destination; no empty ones.
-    queues: BTreeMap<DestinationId, Vec<MessageId>>,
+    queues: BTreeMap<DestinationId, Queue>,
+    last_seq: Seq,
     messages: BTreeMap<MessageId, Message>,
     /// What is left of each tenant's share, and since when.
     shares: BTreeMap<TenantId, (f64, Time)>,
@@ -238,7 +240,7 @@
     /// out first, and a told wait to pass.
     pub fn come_back(&mut self, now: Time, to: DestinationId) -> Duration {
         let aim = Duration::from_secs_f64(shortest_aim(&self.settings));
-        let waiting = self.queues.get(&to).map_or(0, Vec::len) as f64;
+        let waiting = self.queues.get(&to).map_or(0, Queue::len) as f64;
         let routes: Vec<RouteId> = self.routes.range(routes_of(to)).map(|(id, _)| *id).collect();
         let pace: f64 = routes.iter().map(|id| self.pace(now, *id)).sum();
         let wait = routes.iter().map(|id| self.routes[id].told_wait - now).min().unwrap_or_default();
@@ -367,13 +369,16 @@
 
     fn on_accept(&mut self, now: Time, taken: Accepted) {
         let over_share = self.is_over_share(now, taken.tenant);
-        let Some(message) = self.new_message(now, taken, over_share) else { return };
+        let Some(mut message) = self.new_message(now, taken, over_share) else { return };
+        self.last_seq += 1;
+        message.seq = self.last_seq;
         let taken = &message.taken;
         if let (true, Some(key)) = (self.class(&message).in_order, taken.key) {
             self.keys.entry(key).or_default().push(taken.id);
         }
         self.deadlines.insert((taken.deadline, taken.id));
-        self.queues.entry(taken.destination).or_default().push(taken.id);
+        let standing = self.standing(&message);
+        self.queues.entry(taken.destination).or_default().push(message.seq, taken.id, standing);
         self.open += 1;
         self.touch(message.taken.destination);
         self.note_demand(now, message.taken.destination);
@@ -394,6 +399,7 @@
         Some(Message {
             born,
             over_share,
+            seq: 0,
             attempts: 0,
             out: None,
             maybe_ran: may_have_run.then_some((born, None)),
@@ -416,8 +422,10 @@
         if let Some((sent, zone)) = restored.maybe_ran {
             message.maybe_ran = message.maybe_ran.or(Some((sent, Some(zone))));
         }
-        if restored.answered {
-            message.unheard = true;
+        let answered = restored.answered;
+        message.unheard |= answered;
+        self.restand(id);
+        if answered {
             self.close(id);
         } else if let Some(end) = self.messages.get(&id).and_then(|m| self.last_send(m)) {
             self.deadlines.insert((end.max(now), id));
@@ -534,6 +542,7 @@
                 self.end_call(now, call_id, call, &finished);
             }
         }
+        self.restand(finished.message);
         if finished.complete {
             self.close(finished.message);
         } else if let Some(end) = self.messages.get(&finished.message).and_then(|m| self.last_send(m)) {
@@ -630,7 +639,7 @@
     /// Health and pace of a route, from the outcome of one call.
     fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
         let (settings, chance) = (&self.settings, self.rng.f64());
-        let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
+        let waiting = self.queues.get(&call.route.0).map_or(0, Queue::len) as f64;
         let Some(route) = self.routes.get_mut(&call.route) else { return };
         if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
             route.weight = limit;
@@ -881,7 +890,7 @@
             let Some((message, worth)) = self.pick(now, route, &zones, look) else { continue };
             if let Some((_, at, pace)) = cheaper.filter(|(least, ..)| *least < fee) {
                 // Only if all that waits can go that way in time: else what this route could take is lost.
-                let queue = self.queues.get(&to).map_or(0, Vec::len) as f64;
+                let queue = self.queues.get(&to).map_or(0, Queue::len) as f64;
                 let served =
                     at + Duration::from_secs_f64((queue / pace.max(0.001)).min(cold_s(&self.settings)));
                 let m = self.messages.get(&message);
@@ -912,10 +921,11 @@
         let bearable = UNSAFE_LOSS + self.reaping.other;
         let loses = self.routes.get_mut(&route).is_some_and(|r| r.share_lost(now, &self.settings) > bearable);
         let mut best: Option<(bool, f64, MessageId)> = None;
-        self.agenda.work.messages += self.queues.get(&route.0).map_or(0, Vec::len) as u64;
+        let some = self.best_of_many(now, route.0, loses);
         let going = |m: &&Message| zones.iter().any(|zone| self.may_go(m, *zone));
-        let queue = self.queues.get(&route.0).into_iter().flatten();
-        for message in queue.filter_map(|m| self.messages.get(m)).filter(going) {
+        let all = if some.is_some() { None } else { self.queues.get(&route.0) };
+        let looked_at = some.into_iter().flatten().chain(all.into_iter().flat_map(Queue::ids));
+        for message in looked_at.filter_map(|m| self.messages.get(&m)).filter(going) {
             let at = self.sendable_at(now, message);
             if at.is_none_or(|at| at > now) {
                 earliest(&mut look.wake, at);
@@ -970,17 +980,11 @@
         // A repeat that must go before its window ends has nothing left after that.
         let last = self.last_send(message).map(|end| (end - message.born).as_secs_f64());
         let class = self.class(message);
-        let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
-        let value = |age: f64| {
-            if age > span || last.is_some_and(|end| age > end) {
-                return 0.0;
-            }
-            let late = (age - aim).max(0.0);
-            match self.settings.decay {
-                Decay::Line => 1.0 - (1.0 - class.late_share) * late / (span - aim).max(0.001),
-                Decay::Halves => (-late / aim.max(0.001)).exp2().max(class.late_share),
-            }
+        let value = |age: f64| match last {
+            Some(end) if age > end => 0.0,
+            _ => class.value(self.settings.decay, age).0,
         };
+        let aim = class.aim.as_secs_f64();
         let age = (now - message.born).as_secs_f64();
         self.full_worth(message) * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim))
     }
@@ -1042,6 +1046,7 @@
                 m.out = Some(self.last_call);
                 self.actions.push(Action::Route { message, endpoint: to, try_for, leave_within });
             }
+            self.restand(message);
             carried.push(message);
             next = if carried.len() == room {
                 None
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -2,6 +2,7 @@
 //! nothing.
 
 use super::*;
+use crate::queue::{Lane, Standing};
 
 impl Courier {
     /// What may be sent to a destination now. If nothing may, it is not looked at again before that changes.
@@ -35,6 +36,55 @@
         }
     }
 
+    /// How a message stands in its queue: one that was never tried differs from its like in its age alone.
+    pub(super) fn standing(&self, message: &Message) -> Standing {
+        let turns = self.class(message).in_order && message.taken.key.is_some();
+        if message.out.is_some() {
+            Standing::Out
+        } else if turns || message.maybe_ran.is_some() || message.attempts >= self.settings.send_cap {
+            Standing::Apart
+        } else {
+            let lane = (message.taken.class, message.over_share);
+            Standing::Among { lane, born: message.born, not_before: message.not_before }
+        }
+    }
+
+    /// To be told whenever what `standing` goes by has changed.
+    pub(super) fn restand(&mut self, id: MessageId) {
+        let Some(message) = self.messages.get(&id) else { return };
+        let (seq, to, standing) = (message.seq, message.taken.destination, self.standing(message));
+        if let Some(queue) = self.queues.get_mut(&to) {
+            queue.stands(seq, standing);
+        }
+    }
+
+    /// Of a long queue, some messages of which one is the best. With `unsafe_apart`, all that may not be repeated.
+    pub(super) fn best_of_many(
+        &mut self,
+        now: Time,
+        to: DestinationId,
+        unsafe_apart: bool,
+    ) -> Option<Vec<MessageId>> {
+        let mut queue = std::mem::take(self.queues.get_mut(&to)?);
+        let standing = |id| self.messages.get(&id).map_or(Standing::Out, |message| self.standing(message));
+        let index = queue.take_index(standing);
+        let best = index.map(|mut index| {
+            let class = |lane: Lane| &self.settings.classes[usize::from(lane.0 .0)];
+            let stage = |lane: Lane, born: Time| {
+                let (age, aim) = ((now - born).as_secs_f64(), class(lane).aim.as_secs_f64());
+                let value = |age: f64| class(lane).value(self.settings.decay, age).1;
+                value(age) + value(age + aim)
+            };
+            index.advance(now, stage);
+            let best = index.candidates(|lane| unsafe_apart && class(lane).effect == Effect::Unsafe);
+            queue.give_back(index);
+            best
+        });
+        self.agenda.work.messages += best.as_ref().map_or(queue.len(), Vec::len) as u64;
+        self.queues.insert(to, queue);
+        best
+    }
+
     /// The calls of a route stall in the order in which they were sent.
     pub(super) fn oldest_not_stalled(&mut self, id: RouteId) -> Option<u64> {
         let calls = self.routes.get(&id)?.out.iter();
@@ -93,7 +143,12 @@
             self.open -= 1;
             self.deadlines.remove(&(message.taken.deadline, id));
             let to = message.taken.destination;
-            remove_from(&mut self.queues, to, id);
+            if let Some(queue) = self.queues.get_mut(&to) {
+                queue.remove(message.seq);
+                if queue.is_empty() {
+                    self.queues.remove(&to);
+                }
+            }
             self.touch(to);
         }
         self.forget_if_over(id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 mod books;
 mod choice;
 mod interface;
+mod queue;
 mod settings;
 
 pub use agenda::Work;
