--- a/tests/same_decisions.rs
+++ b/tests/same_decisions.rs
@@ -275,8 +275,8 @@
         6 => which.clone().prop_map(Step::Attach),
         1 => prop::bool::weighted(0.4).prop_map(Step::LameDuck),
         1 => prop::option::weighted(0.5, 100u64..4000).prop_map(Step::Closing),
-        1 => Just(Step::Restart),
-        1 => Just(Step::HandOver),
+        2 => Just(Step::Restart),
+        2 => Just(Step::HandOver),
         4 => (0u8..40).prop_map(Step::Ask),
     ];
     let step = prop_oneof![5 => common, 1 => seldom];
