--- a/src/choice.rs
+++ b/src/choice.rs
@@ -224,7 +224,9 @@
                 }
                 self.forget_if_over(id);
             }
-            Event::Closing(at) => self.closing = (at < Time(u64::MAX)).then_some(at),
+            Event::Closing(at) => {
+                (self.closing, self.agenda.all) = ((at < Time(u64::MAX)).then_some(at), true);
+            }
             Event::Detach(endpoint) => self.on_detach(endpoint),
             Event::Attach(endpoint) => self.on_attach(now, endpoint),
             Event::LameDuck(on) => self.lame_since = on.then(|| self.lame_since.unwrap_or(now)),
--- a/tests/same_decisions.rs
+++ b/tests/same_decisions.rs
@@ -26,6 +26,8 @@
 const TOKEN_EDGE: Duration = Duration::from_micros(2);
 const ASIDE: Duration = Duration::from_micros(5);
 const MOST_ASIDE: usize = 20;
+/// A queue of more messages is not gone through whole by the module.
+const LONG_QUEUE: usize = 64;
 /// Steps of one case at most, and those of one stretch of time: what comes later than that comes late.
 const MOST_STEPS: usize = 1500;
 const MOST_STOPS: usize = 60;
@@ -84,6 +86,7 @@
     "lame duck",
     "list failed",
     "list refused",
+    "long queue",
     "outage recalled",
     "outcome Cancelled",
     "outcome ConnectFailed",
@@ -117,6 +120,8 @@
     most_held: usize,
     couriers: u32,
     send_cap: u32,
+    /// Messages that come for each one of the history: many make long queues.
+    many: u8,
     /// Each bit switches one setting, see [`World::settings`].
     switches: u8,
 }
@@ -290,16 +295,14 @@
 }
 
 fn worlds() -> impl Strategy<Value = World> {
-    let sizes = (any::<u64>(), 12u8..=40, 3usize..=14, 20usize..120);
+    // Mostly many destinations with few messages each, else few with many.
+    let wide = (12u8..=40, 20usize..120, Just(1u8));
+    let deep = (1u8..=3, 250usize..700, 10u8..=25);
+    let sizes = (any::<u64>(), prop_oneof![3 => wide.boxed(), 1 => deep.boxed()], 3usize..=14);
     let rest = (prop_oneof![Just(1u32), Just(3), Just(30)], 2u32..10, any::<u8>());
-    (sizes, rest).prop_map(|((seed, destinations, slots, most_held), (couriers, send_cap, switches))| World {
-        seed,
-        destinations,
-        slots,
-        most_held,
-        couriers,
-        send_cap,
-        switches,
+    (sizes, rest).prop_map(|((seed, size, slots), (couriers, send_cap, switches))| {
+        let (destinations, most_held, many) = size;
+        World { seed, destinations, slots, most_held, couriers, send_cap, many, switches }
     })
 }
 
@@ -792,7 +795,7 @@
                 }
             }
             Step::Accept { destination, class, key, count, tenant, left, dead } => {
-                for _ in 0..count {
+                for _ in 0..u32::from(count) * u32::from(self.world.many) {
                     self.accept(destination, class, key, tenant, left, dead)?;
                 }
             }
@@ -993,6 +996,9 @@
         let near_state = |one: &RouteState, other: &RouteState| {
             near_rate(one.pace, other.pace) && RouteState { pace: other.pace, ..*one } == *other
         };
+        if reference.as_ref().is_some_and(|(_, waiting, _)| *waiting > LONG_QUEUE) {
+            reached("long queue");
+        }
         let same = match (&product, &reference) {
             (Some((to1, waiting1, routes1)), Some((to2, waiting2, routes2))) => {
                 (to1, waiting1, routes1.len()) == (to2, waiting2, routes2.len())
