--- a/src/choice.rs
+++ b/src/choice.rs
@@ -224,9 +224,7 @@
                 }
                 self.forget_if_over(id);
             }
-            Event::Closing(at) => {
-                (self.closing, self.agenda.all) = ((at < Time(u64::MAX)).then_some(at), true);
-            }
+            Event::Closing(at) => self.on_closing(at),
             Event::Detach(endpoint) => self.on_detach(endpoint),
             Event::Attach(endpoint) => self.on_attach(now, endpoint),
             Event::LameDuck(on) => self.lame_since = on.then(|| self.lame_since.unwrap_or(now)),
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -5,6 +5,11 @@
 use crate::queue::{Lane, Standing};
 
 impl Courier {
+    /// Which calls would be over in time goes by the moment: until the end all is looked at in each step.
+    pub(super) fn on_closing(&mut self, at: Time) {
+        (self.closing, self.agenda.all) = ((at < Time(u64::MAX)).then_some(at), true);
+    }
+
     /// What may be sent to a destination now. If nothing may, it is not looked at again before that changes.
     pub(super) fn look_at(
         &mut self,
