Widen the destination's number to 32 bits, with today's journals still read

Change: DestinationId, Target.pod_group, Taken.destination, OutageNote.destination, Record::Destinations and the client's dest= are u32. The simulator's wire keeps its 16-bit Cell and the f32 Dest, which are converted where they are read, as before. postcard writes both widths as the same varint, so records keep their form.

--- a/src/bin/cloverstile-wirehost/host.rs
+++ b/src/bin/cloverstile-wirehost/host.rs
@@ -89,7 +89,7 @@
                 let accepted = Accepted {
                     id: MessageId(call),
                     class: ClassId(profile),
-                    destination: DestinationId(dest as u16),
+                    destination: DestinationId(u32::from(dest as u16)),
                     key: (key != 0).then_some(OrderKey(key)),
                     deadline: Time(deadline),
                     from_dead_courier: opts & 16 != 0,
@@ -159,7 +159,7 @@
         id: EndpointId(entry.endpoint),
         zone: ZoneId(entry.zone),
         kind: KindId(entry.kind),
-        destination: DestinationId(entry.cell),
+        destination: DestinationId(entry.cell.into()),
         mode: match entry.mode {
             3 => Mode::Ready,
             1 => Mode::Draining,
--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -60,7 +60,7 @@
     pub class: String,
     /// Empty where none is told.
     pub tenant: String,
-    pub destination: u16,
+    pub destination: u32,
     /// How long it may still be delivered.
     pub left: Duration,
     pub idempotency_key: Option<String>,
--- a/src/bin/gullcart/discovery.rs
+++ b/src/bin/gullcart/discovery.rs
@@ -46,7 +46,7 @@
     pub endpoint: String,
     pub az: String,
     pub model: String,
-    pub pod_group: u16,
+    pub pod_group: u32,
     pub state: String,
     pub capacity_hint: f64,
 }
--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -48,7 +48,7 @@
     pub key: u64,
     /// By name: its place in the settings may differ after a restart.
     pub class: String,
-    pub destination: u16,
+    pub destination: u32,
     pub idempotency_key: Option<String>,
     /// Wall time, Unix milliseconds, as are all times here.
     pub deadline_ms: u64,
@@ -84,7 +84,7 @@
 /// An [`Outage`] in terms that mean the same to the next process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OutageNote {
-    pub destination: u16,
+    pub destination: u32,
     pub uid: Option<String>,
     pub since_ms: u64,
     pub evidence: u32,
@@ -123,7 +123,7 @@
     /// All outages that are remembered now.
     Outages(Vec<OutageNote>),
     /// Every destination that was ever listed.
-    Destinations(Vec<u16>),
+    Destinations(Vec<u32>),
     /// Whose message it is.
     Tenant(u32, String),
     /// An endpoint that operators leave out from now on, or use again.
@@ -139,7 +139,7 @@
     pub rev: u64,
     pub targets: BTreeMap<String, Target>,
     /// One that has no endpoints just now may get others.
-    pub destinations: BTreeSet<u16>,
+    pub destinations: BTreeSet<u32>,
     pub outages: Vec<OutageNote>,
     /// Endpoints that operators leave out, by their uids, listed or not.
     pub detached: BTreeSet<String>,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -53,7 +53,7 @@
     /// One address of a destination.
     EndpointId(u32);
     /// A partner's system; a message names the one that it is for.
-    DestinationId(u16);
+    DestinationId(u32);
     /// Index into [`Settings::classes`].
     ClassId(u8);
     /// Index into [`Settings::tenants`].
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -31,7 +31,7 @@
         id: EndpointId(id),
         zone: ZoneId(0),
         kind: KindId(0),
-        destination: DestinationId(destination),
+        destination: DestinationId(destination.into()),
         mode: Mode::Ready,
         weight: 100.0,
     }
@@ -48,7 +48,7 @@
     Accepted {
         id: MessageId(id),
         class,
-        destination: DestinationId(destination),
+        destination: DestinationId(destination.into()),
         key: key.map(OrderKey),
         deadline: now + rules.deadline,
         from_dead_courier: false,
--- /dev/null
+++ b/tests/journals.rs
@@ -0,0 +1,146 @@
+//! Journals that other builds have written, and what is in them that once did not fit.
+
+mod world;
+
+use std::collections::{BTreeMap, BTreeSet};
+use world::*;
+
+/// A journal as it was written while destinations had 16 bits: compacted once, and gone on with. Of destinations 1, 300
+/// and 65535 some messages are held, whose deadlines are decades away; the first of 1 and of 300 were out, the second
+/// ones waited behind them for their turn. 65535 is held to be out, 40000 is not listed any more, and all else drains.
+const OF_16_BITS: &[&[u8]] = &[
+    // Targets
+    b"\xa3\x00\x00\x00\x9d\xb3\xdd\xc3\x06\x02\x01\x03\x03s-0\x0f127.0.0.1:39731\x08kingston\x05banks\
+      \x01\x07SERVING\x00\x00\x00\x00\x00@\x8f@\x03s-1\x0f127.0.0.1:41093\x08kingston\x05banks\xac\x02\
+      \x07SERVING\x00\x00\x00\x00\x00@\x8f@\x03s-2\x0f127.0.0.1:50553\x08kingston\x05banks\xff\xff\x03\
+      \x07SERVING\x00\x00\x00\x00\x00@\x8f@",
+    // Destinations
+    b"\x0b\x00\x00\x00\xb5\x0aJ\x8a\x08\x04\x01\xac\x02\xc0\xb8\x02\xff\xff\x03",
+    // Outages
+    b"\x18\x00\x00\x00\xd7&\x94\xb8\x07\x01\xff\xff\x03\x00\xe3\xaa\xa7\xa7\xa34\x0c\x01\x01\x00\x00\
+      \x00\x00\x00\x00\x00\x00\x00",
+    // Whole
+    b"(\x00\x00\x00\x0f3J\xd9\x05\x01\x05out-1\x00\x06notice\xff\xff\x03\x01\x02o1\xb8\x9b\xa5\x84\xfd\
+      J\x00\x05out 1\x01\x00\x00\x00",
+    b"(\x00\x00\x00\x10\xf2F{\x05\x02\x05out-2\x00\x06notice\xff\xff\x03\x01\x02o2\xb9\x9b\xa5\x84\xfd\
+      J\x00\x05out 2\x01\x00\x00\x00",
+    b"-\x00\x00\x00 \xa8\x7f\xe5\x05\x03\x05low-1\x05\x06notice\x01\x01\x02l1\xb9\x9b\xa5\x84\xfdJ\x00\
+      \x05low 1\x01\x00\x01\xb9\xab\xa7\xa7\xa34\x00\x00",
+    // Tenant
+    b"\x08\x00\x00\x00\x05\xcd\x7f\x9c\x09\x03\x05south",
+    // Whole
+    b"&\x00\x00\x00\xc6cg\xa5\x05\x04\x05low-2\x05\x06notice\x01\x01\x02l2\xbe\x9b\xa5\x84\xfdJ\x00\
+      \x05low 2\x00\x00\x00\x00",
+    // Tenant
+    b"\x08\x00\x00\x00\x8b\xf3\xd8Y\x09\x04\x05south",
+    // Take
+    b"K\x01\x00\x00\xf6\xbb\xca>\x00\x0c\x06fill-7\x00\x06notice\xac\x02\x01\x01f\xaa\x9e\xa5\x84\xfdJ\
+      \x00\xac\x02xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+      xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+      xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+      xxxxxxxxxxxxxxxxxxxxxxxx",
+    // Start
+    b"\x09\x00\x00\x00\xe8\x9b\xbf\x14\x01\x0c\xaa\xae\xa7\xa7\xa34\x00",
+    // Over
+    b"\x02\x00\x00\x00\xd0\x9b\x03,\x04\x0c",
+    // Take
+    b"#\x00\x00\x00.\xe6N\xd1\x00\x0d\x05mid-1\x06\x06notice\xac\x02\x01\x02m1\xde\x9e\xa5\x84\xfdJ\
+      \x00\x05mid 1",
+    // Tenant
+    b"\x08\x00\x00\x00\xee\xf3\x7fQ\x09\x0d\x05north",
+    // Start
+    b"\x09\x00\x00\x00No2\xc0\x01\x0d\xde\xae\xa7\xa7\xa34\x00",
+    // Take
+    b"#\x00\x00\x00\xad\x87\xe1\xa6\x00\x0e\x05mid-2\x06\x06notice\xac\x02\x01\x02m2\xe0\x9e\xa5\x84\
+      \xfdJ\x00\x05mid 2",
+    // Tenant
+    b"\x08\x00\x00\x00s\xe9\x97`\x09\x0e\x05north",
+    // Targets
+    b"9\x00\x00\x00\xd4\x8e\x0d\x97\x06\x02\x00\x01\x03s-0\x0f127.0.0.1:39731\x08kingston\x05banks\x01\
+      \x08DRAINING\x00\x00\x00\x00\x00@\x8f@",
+    b":\x00\x00\x00\xb4a\x0f2\x06\x02\x00\x01\x03s-1\x0f127.0.0.1:41093\x08kingston\x05banks\xac\x02\
+      \x08DRAINING\x00\x00\x00\x00\x00@\x8f@",
+    b";\x00\x00\x00\xf8 \x1c5\x06\x02\x00\x01\x03s-2\x0f127.0.0.1:50553\x08kingston\x05banks\xff\xff\
+      \x03\x08DRAINING\x00\x00\x00\x00\x00@\x8f@",
+];
+
+/// Each message goes where it was to go, to a destination that is known as it was.
+#[test]
+fn a_journal_of_16_bit_destinations_is_read() {
+    let mut world = World::patient(3, 3.0);
+    world.destinations = vec![1, 300, 65535];
+    world.known.set(0);
+    world.append_to_journal(&OF_16_BITS.concat());
+    let courier = world.start();
+    courier.log_until("the journal was replayed held=6 rev=2");
+    let mut client = courier.client();
+    assert_eq!(client.enqueue("unlisted", "0", "salary", 40000, b"x"), "+OK");
+    assert!(client.enqueue("unknown", "0", "salary", 40001, b"x").starts_with("-ERR "));
+    world.tell_all(3);
+    // A line for the outage would come before this one, had it been forgotten.
+    courier.log_until("the list has changed rev=3");
+    assert!(!courier.has_logged("destinations held to be out"));
+    // What was out may have run: it is tried again inside its window alone.
+    let was_out = BTreeMap::from([("low-1", 0), ("mid-1", 1)]);
+    let waited = BTreeMap::from([("low-2", 0), ("mid-2", 1), ("out-1", 2), ("out-2", 2)]);
+    let mut left: BTreeSet<&str> = waited.keys().copied().collect();
+    while !left.is_empty() {
+        let call = world.call_among_notices();
+        let to = waited.get(call.id.as_str()).or(was_out.get(call.id.as_str()));
+        assert_eq!(to, Some(&call.endpoint), "{}", call.id);
+        assert_eq!(call.body, call.id.replace('-', " ").as_bytes());
+        left.remove(call.id.as_str());
+        call.answer("200 OK", "");
+    }
+    courier.log_until("destinations held to be out before=1 after=0");
+}
+
+/// Destinations beyond 16 bits keep theirs apart from those that are the same but for the bits above, over compaction
+/// and a kill.
+#[test]
+fn destinations_have_32_bits() {
+    const WIDE: u32 = 70_000;
+    let mut world = World::patient(3, 0.006);
+    world.destinations = vec![WIDE, WIDE % 65_536, u32::MAX];
+    let courier = world.start();
+    let mut client = courier.client();
+    assert!(client.enqueue("unknown", "0", "salary", u32::MAX % 65_536, b"x").starts_with("-ERR "));
+    let enqueue = |client: &mut Client, id: &str, key: &str, destination| {
+        assert_eq!(client.enqueue(id, key, &format!("notice,k={id}"), destination, id.as_bytes()), "+OK");
+    };
+    enqueue(&mut client, "wide-1", "1", WIDE);
+    enqueue(&mut client, "most-1", "2", u32::MAX);
+    let out = [world.call(), world.call()];
+    enqueue(&mut client, "wide-2", "1", WIDE);
+    enqueue(&mut client, "most-2", "2", u32::MAX);
+    let mut size = 0;
+    for round in 0.. {
+        assert!(round < 100, "the journal is never compacted");
+        let before = std::mem::replace(&mut size, world.journal().len());
+        if size < before {
+            break;
+        }
+        assert_eq!(
+            client.enqueue(&format!("fill-{round}"), "0", "salary", WIDE % 65_536, &[b'x'; 300]),
+            "+OK"
+        );
+        let call = world.call();
+        assert_eq!(call.endpoint, 1);
+        call.answer("200 OK", "");
+    }
+    let courier = courier.kill_and_restart();
+    drop(out);
+    let to = BTreeMap::from([("wide-1", 0), ("wide-2", 0), ("most-1", 2), ("most-2", 2)]);
+    let mut seen = BTreeSet::new();
+    while seen.len() < to.len() {
+        let call = world.call_among_notices();
+        // The last one of those that filled the journal may have been out.
+        if !call.id.starts_with("fill-") {
+            assert_eq!(to.get(call.id.as_str()), Some(&call.endpoint), "{}", call.id);
+            seen.insert(call.id.clone());
+        }
+        call.answer("200 OK", "");
+    }
+    assert_eq!(courier.client().enqueue("after", "0", "salary", u32::MAX, b"x"), "+OK");
+    assert_eq!(world.call_among_notices().endpoint, 2);
+}
--- a/tests/large.rs
+++ b/tests/large.rs
@@ -4,14 +4,14 @@
 
 use world::*;
 
-const MANY: u16 = 1024;
+const MANY: u32 = 1024;
 const SOCKETS: u32 = 256;
 const MEMORY_MB: u32 = 32;
 
 fn large() -> World {
     let mut world = World::patient(1, 3.0);
-    world.enlarge(MANY.into());
-    (world.apart, world.couriers, world.rate) = (true, MANY.into(), 1e6);
+    world.enlarge(MANY as usize);
+    (world.apart, world.couriers, world.rate) = (true, MANY, 1e6);
     (world.sockets, world.memory_mb) = (SOCKETS, MEMORY_MB);
     world
 }
@@ -54,7 +54,7 @@
     assert_eq!(again.id, "w-last");
     again.answer("200 OK", "");
     let _out = deliver_to_all(&world, &courier, "j");
-    let agent = world.agent_with_drain(usize::from(MANY) - 1);
+    let agent = world.agent_with_drain(MANY as usize - 1);
     world.configure(&agent);
     courier.hang_up();
     courier.log_until("the list has changed rev=5 changed=1024");
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -260,6 +260,8 @@
     pub rate: f64,
     /// Each endpoint has a destination of its own, from 1 on.
     pub apart: bool,
+    /// The destination of each endpoint; those that are not named here keep to what else is told.
+    pub destinations: Vec<u32>,
     /// Names of the settings: a process with others does not understand one's memory.
     pub zone: Cell<&'static str>,
     /// Endpoints of the list that comes with the start; all if there are fewer.
@@ -314,6 +316,7 @@
             couriers: 1,
             rate: 1000.0,
             apart: false,
+            destinations: Vec::new(),
             zone: Cell::new("kingston"),
             known: Cell::new(usize::MAX),
             listen: Cell::new(([127, 0, 0, 1], 0).into()),
@@ -383,7 +386,8 @@
     }
 
     fn target(&self, endpoint: usize, state: &str) -> Value {
-        let destination = if self.apart { endpoint + 1 } else { 1 };
+        let otherwise = if self.apart { endpoint as u32 + 1 } else { 1 };
+        let destination = self.destinations.get(endpoint).copied().unwrap_or(otherwise);
         json!({
             "uid": format!("s-{endpoint}"), "endpoint": self.endpoints[endpoint].to_string(), "az": "kingston",
             "model": "banks", "pod_group": destination, "state": state, "capacity_hint": self.rate, "boot_ms": 0,
@@ -574,7 +578,11 @@
 
     pub fn append_to_journal(&self, bytes: &[u8]) {
         let path = self.folder.join("state/journal");
-        std::fs::OpenOptions::new().append(true).open(path).unwrap().write_all(bytes).unwrap();
+        std::fs::OpenOptions::new().append(true).create(true).open(path).unwrap().write_all(bytes).unwrap();
+    }
+
+    pub fn journal(&self) -> Vec<u8> {
+        std::fs::read(self.folder.join("state/journal")).unwrap()
     }
 }
 
@@ -661,6 +669,11 @@
         }
     }
 
+    /// Whether a line of the log so far holds some words.
+    pub fn has_logged(&self, words: &str) -> bool {
+        self.log.lines.lock().unwrap().iter().any(|line| line.contains(words))
+    }
+
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
@@ -806,13 +819,13 @@
     }
 
     /// Hands a message in; `class` may carry further fields.
-    pub fn enqueue(&mut self, id: &str, key: &str, class: &str, destination: u16, body: &[u8]) -> String {
+    pub fn enqueue(&mut self, id: &str, key: &str, class: &str, destination: u32, body: &[u8]) -> String {
         self.begin_enqueue(id, key, class, destination, body);
         self.line()
     }
 
     /// Sends a hand-in without waiting for its answer.
-    pub fn begin_enqueue(&mut self, id: &str, key: &str, class: &str, destination: u16, body: &[u8]) {
+    pub fn begin_enqueue(&mut self, id: &str, key: &str, class: &str, destination: u32, body: &[u8]) {
         let fields = format!("d=20000,c={class},dest={destination}");
         self.command(&[b"ENQUEUE", key.as_bytes(), id.as_bytes(), fields.as_bytes(), body]);
     }
