Move the reader of the list and the watch below the courier, as cloverstile::list

Change: src/list holds the reader (Target, Update, Directory, Numbers), the watch (Watch, News) and the connection to the agent (Agent, AgentError, connect). The watch says its News to a callable, which the courier turns into an input of its driver. Notices have a file of their own beside the courier.

Tests: tests/list.rs for the reader, and that no file of the decisions knows of it; all others unchanged.

--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -1,5 +1,6 @@
 //! The one loop that owns the decision module: events in, actions out, timers. It waits for no socket.
 
+use cloverstile::list::{Directory, News, Numbers, Update};
 use cloverstile::*;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -15,8 +16,8 @@
 use crate::admin::{Done, Operation};
 use crate::calls::{Call, CallEnded, Ended, Load, Pool, Stop};
 use crate::clients::{Answer, Enqueue};
-use crate::discovery::{Directory, Notice, Numbers, Update};
 use crate::journal::{Held, Journal, JournalError, OutageNote, Taken, Verdict};
+use crate::notices::Notice;
 use crate::past::Past;
 use crate::seldom::Seldom;
 use crate::wire::Descriptor;
@@ -51,11 +52,8 @@
     Enqueue(Enqueue, oneshot::Sender<Answer>),
     /// A client was gone before it could be told that its message was taken on, by its own hand-in.
     Unheard(MessageId),
-    Listed(Update),
-    /// The watch on the list is up.
-    Watched,
-    /// It is not, or the list was refused.
-    Unwatched(Listing),
+    /// News of the list of endpoints, or of the watch on it.
+    List(News),
     /// What became of the messages of one call.
     Ended(EndpointId, Vec<MessageId>, CallEnded),
     /// The platform has these notices.
@@ -638,9 +636,9 @@
                 }
             }
             Input::Unheard(message) => self.unheard(now, message),
-            Input::Listed(update) => self.listed(now, update),
-            Input::Watched => self.courier.handle(now, Event::Watching),
-            Input::Unwatched(why) => self.courier.handle(now, Event::Listed(why)),
+            Input::List(News::Listed(update)) => self.listed(now, update),
+            Input::List(News::Watched) => self.courier.handle(now, Event::Watching),
+            Input::List(News::Unwatched(why)) => self.courier.handle(now, Event::Listed(why)),
             Input::Ended(endpoint, messages, ended) => self.call_ended(now, endpoint, &messages, &ended),
             Input::Heard(messages) => {
                 for message in messages {
--- a/src/bin/gullcart/handover.rs
+++ b/src/bin/gullcart/handover.rs
@@ -492,7 +492,7 @@
                         say(&frames, &ToNew::Operate(last, operation), Vec::new());
                     }
                     Input::Terminate => driver.handle(Input::Terminate),
-                    Input::Listed(_) | Input::Watched | Input::Unwatched(_) => {}
+                    Input::List(_) => {}
                 },
                 () = sleep_until(next.unwrap_or(never)), if next.is_some() => {
                     abandoned = true;
--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -4,6 +4,7 @@
 //! process, not the machine), but the system call must have returned.
 
 use bytes::Bytes;
+use cloverstile::list::{Target, Update};
 use cloverstile::Outage;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,8 +14,6 @@
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
-use crate::discovery::{Target, Update};
-
 /// Messages are taken on only while what is live fits into this part of the disk ...
 const LIVE_PART: f64 = 0.43;
 /// ... and the file is compacted before it passes this part, so that old and new fit side by side.
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -3,14 +3,15 @@
 mod admin;
 mod calls;
 mod clients;
-mod discovery;
 mod driver;
 mod handover;
 mod journal;
+mod notices;
 mod past;
 mod seldom;
 mod wire;
 
+use cloverstile::list::{Update, Watch};
 use cloverstile::{parse_settings_json, Parsed, SettingError, Settings};
 use serde::Deserialize;
 use std::ffi::OsString;
@@ -30,7 +31,6 @@
 
 use crate::admin::Door;
 use crate::clients::{ClientLimits, Clients};
-use crate::discovery::Watch;
 use crate::driver::{Driver, Ends, Input, Phase, IDLE_OF_SLOTS};
 use crate::handover::{Begun, Given, Offer};
 use crate::journal::{Journal, JournalError};
@@ -60,7 +60,7 @@
     admin_addr: Option<String>,
     seed: String,
     limits: Limits,
-    known: discovery::Update,
+    known: Update,
     settings: serde_json::Value,
 }
 
@@ -256,7 +256,7 @@
     info!(name = config.name, %address, "listening");
     let (found, agent) = watch::channel(config.discovery);
     let gate = Arc::new(Semaphore::new(1));
-    tokio::task::spawn_local(discovery::notices(agent.clone(), owed, inputs.clone(), gate.clone()));
+    tokio::task::spawn_local(notices::send_all(agent.clone(), owed, inputs.clone(), gate.clone()));
     tokio::task::spawn_local(follow(hang_up, path, found));
     let terminated = inputs.clone();
     tokio::task::spawn_local(async move {
@@ -269,7 +269,9 @@
         let accepting = tokio::task::spawn_local(clients.clone().serve(listener));
         let watch = Watch { agent: agent.clone(), rev: driver.rev(), again: again.clone() };
         let first = std::mem::take(&mut first);
-        let watching = tokio::task::spawn_local(watch.run(first, inputs.clone()));
+        let listed = inputs.clone();
+        let tell = move |news| drop(listed.send(Input::List(news)));
+        let watching = tokio::task::spawn_local(watch.run(first, tell));
         let offer = Offer::new(&socket);
         let next = loop {
             let next = tokio::select! {
--- /dev/null
+++ b/src/bin/gullcart/notices.rs
@@ -0,0 +1,158 @@
+//! The notices that end messages, on their way to the platform.
+
+use bytes::Bytes;
+use cloverstile::list::{connect, Agent, AgentError, Connection, ANSWER};
+use cloverstile::MessageId;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tracing::{error, warn};
+
+use crate::driver::Input;
+use crate::journal::Verdict;
+
+/// Notices are answered at once. What is not in this time goes again on another connection, as this one may be dead
+/// while the agent lives; it gets twice as long each time. Both fit into the time that a final answer has at the end.
+const NOTICE: Duration = Duration::from_millis(100);
+/// Between tries to tell notices to an agent that cannot be reached.
+const BACK_OFF: Duration = Duration::from_millis(100);
+/// Notices that go in one request at most.
+const NOTICES: usize = 200;
+
+/// The end of a message that was not delivered, on its way to the platform.
+#[derive(Debug)]
+pub struct Notice {
+    pub message: MessageId,
+    pub id: String,
+    pub verdict: Verdict,
+}
+
+impl Notice {
+    fn line(&self) -> String {
+        let mut value = match self.verdict {
+            Verdict::Failed => serde_json::json!({"id": self.id, "state": "failed"}),
+            Verdict::Returned { after_ms } => {
+                serde_json::json!({"id": self.id, "state": "returned", "after_ms": after_ms})
+            }
+        }
+        .to_string();
+        value.push('\n');
+        value
+    }
+}
+
+/// Sends notices until each is answered, at a new address those that the old one has not answered. A notice that
+/// comes twice does no harm, one that never comes does.
+/// While somebody else holds the gate, nothing is sent.
+pub async fn send_all(
+    mut agent: Agent,
+    mut queue: UnboundedReceiver<Notice>,
+    driver: UnboundedSender<Input>,
+    gate: Arc<Semaphore>,
+) {
+    let mut connection = None;
+    let mut batch = Vec::new();
+    let mut down = false;
+    let mut patience = NOTICE;
+    while queue.recv_many(&mut batch, NOTICES).await > 0 {
+        while !batch.is_empty() {
+            if agent.has_changed().unwrap_or_default() {
+                connection = None;
+            }
+            let address = agent.borrow_and_update().clone();
+            let Ok(open) = gate.acquire().await else { return };
+            let kept = connection.is_some();
+            let told = tokio::select! {
+                told = tell(&address, &mut connection, &mut batch, &driver, patience) => told,
+                Ok(()) = agent.changed() => {
+                    connection = None;
+                    continue;
+                }
+            };
+            drop(open);
+            match told {
+                Ok(()) => (down, patience) = (false, NOTICE),
+                Err(reason) => {
+                    connection = None;
+                    if !down {
+                        warn!(%reason, waiting = batch.len(), "notices are not answered");
+                        down = true;
+                    }
+                    if matches!(reason, AgentError::Silent(_)) {
+                        patience = (patience * 2).min(ANSWER);
+                    } else if !kept {
+                        let _ = timeout(BACK_OFF, agent.changed()).await;
+                    }
+                    // What has come meanwhile does not wait for these.
+                    while let Some(notice) = (batch.len() < NOTICES).then(|| queue.try_recv().ok()).flatten()
+                    {
+                        batch.push(notice);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Sends a batch of notices; those that are answered leave it.
+async fn tell(
+    agent: &str,
+    connection: &mut Option<Connection>,
+    batch: &mut Vec<Notice>,
+    driver: &UnboundedSender<Input>,
+    patience: Duration,
+) -> Result<(), AgentError> {
+    match post(agent, connection, batch.iter().map(Notice::line).collect(), patience).await {
+        // One bad line must not hold up the others: they go one by one, and it is let go.
+        Err(AgentError::Status(StatusCode::BAD_REQUEST)) => {}
+        result => {
+            result?;
+            let heard = batch.drain(..).map(|notice| notice.message).collect();
+            let _ = driver.send(Input::Heard(heard));
+            return Ok(());
+        }
+    }
+    while let Some(notice) = batch.last() {
+        match post(agent, connection, notice.line(), patience).await {
+            Err(refused @ AgentError::Status(StatusCode::BAD_REQUEST)) => {
+                error!(id = notice.id, %refused, "a notice is not understood");
+            }
+            result => result?,
+        }
+        let _ = driver.send(Input::Heard(vec![notice.message]));
+        batch.pop();
+    }
+    Ok(())
+}
+
+async fn post(
+    agent: &str,
+    kept: &mut Option<Connection>,
+    lines: String,
+    patience: Duration,
+) -> Result<(), AgentError> {
+    let request = Request::post("/v1/notices").header("Host", agent).body(Full::new(Bytes::from(lines)))?;
+    let exchange = async {
+        let mut connection = match kept.take().filter(|connection| !connection.is_closed()) {
+            Some(connection) => connection,
+            None => connect(agent).await?,
+        };
+        connection.ready().await?;
+        let response: Response<Incoming> = connection.send_request(request).await?;
+        let status = response.status();
+        response.into_body().collect().await?;
+        Ok::<_, AgentError>((connection, status))
+    };
+    let (connection, status) = timeout(patience, exchange).await??;
+    *kept = Some(connection);
+    if status == StatusCode::NO_CONTENT {
+        Ok(())
+    } else {
+        Err(AgentError::Status(status))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 mod books;
 mod choice;
 mod interface;
+pub mod list;
 mod settings;
 
 pub use choice::{Courier, WATCH_PATIENCE};
--- /dev/null
+++ b/src/list/directory.rs
@@ -0,0 +1,218 @@
+//! The reader of the list: numbers for the names that it uses, and where each endpoint is found.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use tracing::warn;
+
+use crate::{DestinationId, Endpoint, EndpointId, KindId, Listing, Mode, Parsed, ZoneId};
+
+/// An entry of the list.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Target {
+    /// The endpoint's name. Another one in its place has another.
+    pub uid: String,
+    /// Its address, as `IP:port`.
+    pub endpoint: String,
+    /// The name of its zone.
+    pub az: String,
+    /// The name of its kind.
+    pub model: String,
+    /// The number of its destination.
+    pub pod_group: u32,
+    /// `SERVING`, `DRAINING` or `DELETED`; what else it may be counts as draining.
+    pub state: String,
+    /// See [`WeightSource`](crate::WeightSource).
+    pub capacity_hint: f64,
+}
+
+impl Target {
+    /// Whether the list holds the endpoint no more.
+    pub fn is_gone(&self) -> bool {
+        self.state == "DELETED"
+    }
+}
+
+/// The whole list, or what changed in it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Update {
+    /// The version of the list that this leads to.
+    pub rev: u64,
+    /// The whole list: what it does not name is gone.
+    pub all: bool,
+    /// The entries, or those that have changed.
+    pub targets: Vec<Target>,
+}
+
+/// The numbers that stand for names, for the next process: the module's memory is in terms of them.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Numbers {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    last: u32,
+    numbers: Vec<(String, EndpointId)>,
+}
+
+/// Numbers for the names that the list uses, and where each endpoint is found.
+pub struct Directory {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    /// Messages in one call at most, by kind.
+    batches: Vec<usize>,
+    last: u32,
+    numbers: HashMap<String, EndpointId>,
+    entries: BTreeMap<EndpointId, Entry>,
+    /// Endpoints that operators leave out: they keep their numbers, listed or not.
+    detached: BTreeSet<EndpointId>,
+}
+
+struct Entry {
+    uid: String,
+    zone: ZoneId,
+    destination: DestinationId,
+    address: Option<SocketAddr>,
+    mode: Mode,
+    batch: usize,
+}
+
+impl Directory {
+    /// Knows the names of the settings, and no endpoint.
+    pub fn new(parsed: &Parsed) -> Self {
+        Directory {
+            zones: parsed.zone_names.clone(),
+            kinds: parsed.kind_names.clone(),
+            batches: parsed.settings.kinds.iter().map(|kind| kind.batch.max(1)).collect(),
+            last: 0,
+            numbers: HashMap::new(),
+            entries: BTreeMap::new(),
+            detached: BTreeSet::new(),
+        }
+    }
+
+    /// What the next process needs to go on with the same numbers.
+    pub fn numbers(&self) -> Numbers {
+        Numbers {
+            zones: self.zones.clone(),
+            kinds: self.kinds.clone(),
+            last: self.last,
+            numbers: self.numbers.iter().map(|(uid, id)| (uid.clone(), *id)).collect(),
+        }
+    }
+
+    /// Goes on with the numbers of another process.
+    pub fn renumber(&mut self, numbers: Numbers) {
+        (self.zones, self.kinds, self.last) = (numbers.zones, numbers.kinds, numbers.last);
+        self.numbers = numbers.numbers.into_iter().collect();
+    }
+
+    /// Where an endpoint is called; none if it is not known, or its address cannot be read.
+    pub fn address(&self, id: EndpointId) -> Option<SocketAddr> {
+        self.entries.get(&id).and_then(|entry| entry.address)
+    }
+
+    /// Where it stands.
+    pub fn zone(&self, id: EndpointId) -> ZoneId {
+        self.entries.get(&id).map_or(ZoneId(0), |entry| entry.zone)
+    }
+
+    /// Messages that one call to an endpoint may carry.
+    pub fn batch(&self, id: EndpointId) -> usize {
+        self.entries.get(&id).map_or(1, |entry| entry.batch)
+    }
+
+    /// The destination that it belongs to.
+    pub fn destination(&self, id: EndpointId) -> Option<DestinationId> {
+        self.entries.get(&id).map(|entry| entry.destination)
+    }
+
+    /// The name of a listed endpoint.
+    pub fn uid(&self, id: EndpointId) -> Option<&str> {
+        self.entries.get(&id).map(|entry| entry.uid.as_str())
+    }
+
+    /// The number of a name, if it has one.
+    pub fn number(&self, uid: &str) -> Option<EndpointId> {
+        self.numbers.get(uid).copied()
+    }
+
+    /// Whether an endpoint may be given new work.
+    pub fn is_open(&self, id: EndpointId) -> bool {
+        self.entries.get(&id).is_some_and(|entry| entry.mode == Mode::Ready) && !self.detached.contains(&id)
+    }
+
+    /// Leaves an endpoint out, or uses it again, and gives its number. It need not be listed (any more).
+    pub fn detach(&mut self, uid: &str, out: bool) -> EndpointId {
+        let id = self.number_of(uid);
+        if out {
+            self.detached.insert(id);
+        } else {
+            self.detached.remove(&id);
+        }
+        id
+    }
+
+    /// Whether an endpoint is not listed any more, and not forgotten yet.
+    pub fn is_gone(&self, id: EndpointId) -> bool {
+        self.entries.get(&id).is_some_and(|entry| entry.mode == Mode::Gone)
+    }
+
+    /// Forgets the endpoints that are gone, but those that are still needed.
+    pub fn forget_gone(&mut self, needed: impl Fn(EndpointId) -> bool) {
+        self.entries.retain(|id, entry| entry.mode != Mode::Gone || needed(*id));
+        self.numbers.retain(|_, id| self.entries.contains_key(id) || self.detached.contains(id));
+    }
+
+    /// Takes news of the list in and words them for the module.
+    pub fn apply(&mut self, update: &Update) -> Listing {
+        if update.all {
+            // What a whole list does not name is gone.
+            self.entries.values_mut().for_each(|entry| entry.mode = Mode::Gone);
+        }
+        let entries = update.targets.iter().map(|target| self.entry(target)).collect();
+        if update.all {
+            Listing::Whole(entries)
+        } else {
+            Listing::Changes(entries)
+        }
+    }
+
+    fn number_of(&mut self, uid: &str) -> EndpointId {
+        *self.numbers.entry(uid.to_owned()).or_insert_with(|| {
+            self.last += 1;
+            EndpointId(self.last)
+        })
+    }
+
+    fn entry(&mut self, target: &Target) -> Endpoint {
+        let id = self.number_of(&target.uid);
+        let address = target.endpoint.parse().ok();
+        if address.is_none() {
+            warn!(uid = target.uid, endpoint = target.endpoint, "an endpoint's address cannot be read");
+        }
+        let mode = match target.state.as_str() {
+            "SERVING" if address.is_some() => Mode::Ready,
+            "DELETED" => Mode::Gone,
+            _ => Mode::Draining,
+        };
+        let zone = ZoneId(place(&mut self.zones, &target.az));
+        let kind = KindId(place(&mut self.kinds, &target.model).into());
+        let (uid, destination) = (target.uid.clone(), DestinationId(target.pod_group));
+        let batch = self.batches.get(usize::from(kind.0)).copied().unwrap_or(1);
+        self.entries.insert(id, Entry { uid, zone, destination, address, mode, batch });
+        Endpoint { id, zone, kind, destination, mode, weight: target.capacity_hint }
+    }
+}
+
+/// The place of a name in the settings; names that these do not hold come after them, and share the last place
+/// when there are too many.
+fn place(names: &mut Vec<String>, name: &str) -> u8 {
+    let at = names.iter().position(|known| known == name).unwrap_or_else(|| {
+        if names.len() < usize::from(u8::MAX) {
+            warn!(name, "the list uses a name that the settings do not hold");
+            names.push(name.to_owned());
+            return names.len() - 1;
+        }
+        names.len()
+    });
+    u8::try_from(at).unwrap_or(u8::MAX)
+}
--- /dev/null
+++ b/src/list/mod.rs
@@ -0,0 +1,11 @@
+//! The list of endpoints as discovery tells it: the reader, which turns its names into the module's numbers, and the
+//! watch on it. Both are the real courier's, and serve whoever else hosts the decisions on a real list. They decide
+//! nothing, keep nothing on disk, and no file of the decisions depends on them.
+
+mod agent;
+mod directory;
+mod watch;
+
+pub use agent::{connect, Agent, AgentError, Connection, ANSWER};
+pub use directory::{Directory, Numbers, Target, Update};
+pub use watch::{News, Watch};
--- /dev/null
+++ b/src/list/watch.rs
@@ -0,0 +1,170 @@
+//! The watch on the list.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tracing::{info, warn};
+
+use super::agent::{connect, Agent, AgentError, Connection, ANSWER};
+use super::directory::Update;
+use crate::{Listing, WATCH_PATIENCE};
+
+/// The watch has an empty line every 2 s; silence for this long is an outage of discovery. What was missed counts
+/// as told after 6 s, so that there is no time for a longer wait.
+const SILENCE: Duration = Duration::from_secs(3);
+/// A list, or a line of the watch, that is longer is damage.
+const LONGEST_LIST: usize = 4 << 20;
+
+/// What the watch has to tell.
+#[derive(Debug)]
+pub enum News {
+    /// The whole list, or what has changed in it.
+    Listed(Update),
+    /// The watch is up.
+    Watched,
+    /// It is not: [`Listing::Failed`], or [`Listing::Refused`] as discovery has more to do than it can.
+    Unwatched(Listing),
+}
+
+/// The watch on the list, from its last version on.
+pub struct Watch {
+    /// Where to ask.
+    pub agent: Agent,
+    /// The version of the list that is known already.
+    pub rev: u64,
+    /// What breaks is begun anew when the module says so.
+    pub again: watch::Receiver<()>,
+}
+
+impl Watch {
+    /// Begins after some time, and says what it hears; ends when nobody can tell any more where the agent is.
+    pub async fn run(mut self, first: Duration, tell: impl Fn(News)) {
+        let mut down = false;
+        let mut agent = self.agent.clone();
+        // Another agent may know another list: it is asked for the whole of it first, and at once.
+        let mut whole = timeout(first, agent.changed()).await.is_ok();
+        loop {
+            let address = agent.borrow_and_update().clone();
+            let result = tokio::select! {
+                result = self.once(&address, &mut whole, &tell, &mut down) => result,
+                changed = agent.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    (whole, down) = (true, false);
+                    continue;
+                }
+            };
+            let why = match &result {
+                Err(AgentError::Status(StatusCode::SERVICE_UNAVAILABLE) | AgentError::Unserved) => {
+                    Listing::Refused
+                }
+                _ => Listing::Failed,
+            };
+            let reason = result.err().map_or_else(|| "ended".to_owned(), |error| error.to_string());
+            if !down {
+                warn!(reason, rev = self.rev, "the watch on the list broke");
+                down = true;
+            }
+            self.again.mark_unchanged();
+            tell(News::Unwatched(why));
+            tokio::select! {
+                Ok(()) = self.again.changed() => {}
+                changed = agent.changed() => whole |= changed.is_ok(),
+            }
+        }
+    }
+
+    async fn once(
+        &mut self,
+        agent: &str,
+        whole: &mut bool,
+        tell: &impl Fn(News),
+        down: &mut bool,
+    ) -> Result<(), AgentError> {
+        let mut connection = connect(agent).await?;
+        if *whole {
+            let request = Request::get("/v1/endpoints").header("Host", agent).body(Full::default())?;
+            let list = timeout(WATCH_PATIENCE, fetch(&mut connection, request)).await??;
+            // An agent that has heard less than the one before must not take back a drain.
+            if list.rev >= self.rev {
+                self.rev = list.rev;
+                tell(News::Listed(Update { all: true, ..list }));
+            }
+            *whole = false;
+            timeout(ANSWER, connection.ready()).await??;
+        }
+        let request = Request::get(format!("/v1/endpoints?watch=1&after={}", self.rev))
+            .header("Host", agent)
+            .body(Full::default())?;
+        let response = timeout(WATCH_PATIENCE, connection.send_request(request)).await??;
+        if response.status() != StatusCode::OK {
+            return Err(AgentError::Status(response.status()));
+        }
+        let mut body = response.into_body();
+        let mut buffer: Vec<u8> = Vec::new();
+        // Up to where the buffer holds lines of an object that is not whole yet: lists may come indented.
+        let mut begun = 0;
+        let mut told = false;
+        while let Some(part) = timeout(SILENCE, body.frame()).await? {
+            if part.is_err() && !told {
+                return Err(AgentError::Unserved);
+            }
+            if !told {
+                told = true;
+                tell(News::Watched);
+            }
+            if *down {
+                info!(rev = self.rev, "the list is being watched again");
+                *down = false;
+            }
+            let Ok(data) = part?.into_data() else { continue };
+            buffer.extend_from_slice(&data);
+            while let Some(end) = buffer[begun..].iter().position(|byte| *byte == b'\n') {
+                let end = begun + end;
+                let line = &buffer[begun..=end];
+                let blank = line.trim_ascii().is_empty();
+                if begun > 0 && blank {
+                    return Err(AgentError::Long);
+                }
+                // What is indented belongs to the object, whose end alone is worth a look.
+                if begun > 0 && line[0].is_ascii_whitespace() {
+                    begun = end + 1;
+                    continue;
+                }
+                if !blank {
+                    match serde_json::from_slice::<Update>(&buffer[..=end]) {
+                        Ok(update) => {
+                            self.rev = update.rev;
+                            tell(News::Listed(update));
+                        }
+                        Err(error) if error.is_eof() => {
+                            begun = end + 1;
+                            continue;
+                        }
+                        Err(error) => return Err(error.into()),
+                    }
+                }
+                buffer.drain(..=end);
+                begun = 0;
+            }
+            if buffer.len() > LONGEST_LIST {
+                return Err(AgentError::Long);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The whole list.
+async fn fetch(connection: &mut Connection, request: Request<Full<Bytes>>) -> Result<Update, AgentError> {
+    let response = connection.send_request(request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(AgentError::Status(response.status()));
+    }
+    let body = Limited::new(response.into_body(), LONGEST_LIST).collect().await;
+    Ok(serde_json::from_slice(&body.map_err(|_| AgentError::Long)?.to_bytes())?)
+}
--- /dev/null
+++ b/tests/list.rs
@@ -0,0 +1,94 @@
+//! The reader of the list, by itself.
+
+use cloverstile::list::{Directory, Target, Update};
+use cloverstile::*;
+
+fn directory() -> Directory {
+    let settings = Settings { kinds: vec![Kind { batch: 20, own_limits: false }], ..Settings::default() };
+    let (kind_names, zone_names) = (vec!["banks".to_owned()], vec!["kingston".to_owned()]);
+    let (class_names, tenant_names) = Default::default();
+    let parsed =
+        Parsed { settings, class_names, tenant_names, kind_names, zone_names, left_at: None, limit_at: None };
+    Directory::new(&parsed)
+}
+
+fn target(uid: &str, state: &str) -> Target {
+    Target {
+        uid: uid.to_owned(),
+        endpoint: "127.0.0.1:9".to_owned(),
+        az: "kingston".to_owned(),
+        model: "banks".to_owned(),
+        pod_group: 70_000,
+        state: state.to_owned(),
+        capacity_hint: 3.5,
+    }
+}
+
+fn update(all: bool, targets: Vec<Target>) -> Update {
+    Update { rev: 1, all, targets }
+}
+
+fn entries(listing: Listing) -> Vec<(u32, Mode)> {
+    match listing {
+        Listing::Whole(entries) | Listing::Changes(entries) => {
+            entries.iter().map(|entry| (entry.id.0, entry.mode)).collect()
+        }
+        other => panic!("no entries in {other:?}"),
+    }
+}
+
+#[test]
+fn names_become_numbers_that_stay() {
+    let mut directory = directory();
+    let first = directory.apply(&update(true, vec![target("a", "SERVING"), target("b", "DRAINING")]));
+    assert!(matches!(&first, Listing::Whole(entries) if entries[0].destination == DestinationId(70_000)));
+    assert_eq!(entries(first), [(1, Mode::Ready), (2, Mode::Draining)]);
+    let next = directory.apply(&update(false, vec![target("c", "SERVING"), target("a", "DELETED")]));
+    assert!(matches!(next, Listing::Changes(_)));
+    assert_eq!(entries(next), [(3, Mode::Ready), (1, Mode::Gone)]);
+    assert_eq!(directory.batch(EndpointId(3)), 20);
+    assert_eq!(directory.address(EndpointId(3)), Some(([127, 0, 0, 1], 9).into()));
+}
+
+/// An endpoint without an address that can be read gets nothing new.
+#[test]
+fn an_address_that_cannot_be_read_drains() {
+    let mut directory = directory();
+    let target = Target { endpoint: "nowhere".to_owned(), ..target("a", "SERVING") };
+    assert_eq!(entries(directory.apply(&update(true, vec![target]))), [(1, Mode::Draining)]);
+    assert!(!directory.is_open(EndpointId(1)));
+}
+
+/// What a whole list does not name is gone, and is forgotten unless it is needed or left out.
+#[test]
+fn the_gone_are_forgotten_once_nobody_needs_them() {
+    let mut directory = directory();
+    let all = ["a", "b", "c", "d"].map(|uid| target(uid, "SERVING"));
+    directory.apply(&update(true, all.to_vec()));
+    directory.detach("c", true);
+    directory.apply(&update(true, vec![target("d", "SERVING")]));
+    let gone =
+        |directory: &Directory| (1..=4).map(|id| directory.is_gone(EndpointId(id))).collect::<Vec<_>>();
+    assert_eq!(gone(&directory), [true, true, true, false]);
+    directory.forget_gone(|id| id == EndpointId(2));
+    assert_eq!(gone(&directory), [false, true, false, false]);
+    let number = |directory: &Directory, uid: &str| directory.number(uid).map(|id| id.0);
+    assert_eq!(["a", "b", "c", "d"].map(|uid| number(&directory, uid)), [None, Some(2), Some(3), Some(4)]);
+    directory.forget_gone(|_| false);
+    assert_eq!(number(&directory, "b"), None);
+    // One that comes back keeps its number only while it is known.
+    directory.apply(&update(false, vec![target("a", "SERVING"), target("c", "SERVING")]));
+    assert_eq!(["a", "c"].map(|uid| number(&directory, uid)), [Some(5), Some(3)]);
+    assert!(directory.is_open(EndpointId(5)) && !directory.is_open(EndpointId(3)));
+    directory.detach("c", false);
+    assert!(directory.is_open(EndpointId(3)));
+}
+
+/// The decisions know nothing of the list that discovery tells.
+#[test]
+fn no_decision_depends_on_the_list() {
+    for file in ["choice.rs", "books.rs", "interface.rs", "settings.rs"] {
+        let text = std::fs::read_to_string(format!("{}/src/{file}", env!("CARGO_MANIFEST_DIR"))).unwrap();
+        assert!(!text.contains("list::") && !text.contains("::list"), "{file}");
+    }
+}
