--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -4,7 +4,7 @@
 use cloverstile::*;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -16,7 +16,7 @@
 use crate::admin::{Done, Operation};
 use crate::calls::{Call, CallEnded, Ended, Load, Pool, Stop};
 use crate::clients::{Answer, Enqueue};
-use crate::journal::{Held, Journal, JournalError, OutageNote, Taken, Verdict};
+use crate::journal::{Held, Journal, JournalError, OutageChange, OutageKey, OutageNote, Taken, Verdict};
 use crate::notices::Notice;
 use crate::past::Past;
 use crate::seldom::Seldom;
@@ -236,6 +236,10 @@
     wake: Option<(Instant, u64)>,
     actions: Vec<Action>,
     counts: Counts,
+    /// What of outages has changed and is not in the journal yet; none where nothing is remembered any more.
+    unnoted: BTreeMap<OutageKey, Option<OutageNote>>,
+    /// Names of endpoints with outages: their ends come when the list may have forgotten them.
+    outage_uids: HashMap<EndpointId, String>,
     journal_errors: Seldom,
     late: Seldom,
     outage_lines: Seldom,
@@ -281,6 +285,8 @@
             wake: None,
             actions: Vec::new(),
             counts: Counts::default(),
+            unnoted: BTreeMap::new(),
+            outage_uids: HashMap::new(),
             journal_errors: Seldom::default(),
             late: Seldom::default(),
             outage_lines: Seldom::default(),
@@ -311,6 +317,7 @@
                 let _ = self.notices.send(notice);
             }
         }
+        self.note_all_outages();
         for CallAway { endpoint, messages, sent } in calls {
             let (reason, stopped) = oneshot::channel();
             let call = Rc::new(CallOut {
@@ -489,7 +496,7 @@
         for uid in self.journal.image.detached.clone() {
             self.detach(now, &uid, true);
         }
-        for note in self.journal.image.outages.clone() {
+        for note in self.journal.image.outages.notes() {
             let endpoint = note.uid.as_ref().and_then(|uid| self.directory.number(uid));
             if note.uid.is_some() && endpoint.is_none() {
                 continue;
@@ -505,6 +512,7 @@
             };
             self.courier.handle(now, Event::Recalled(outage));
         }
+        self.note_all_outages();
         let held: Vec<(u32, Held)> = self.journal.image.held.iter().map(|(n, h)| (*n, h.clone())).collect();
         for (number, held) in &held {
             self.restore_message(now, *number, held);
@@ -1005,22 +1013,65 @@
         }
     }
 
-    /// Writes down what is to be remembered of outages, when it has changed.
+    /// Takes over what is to be remembered of outages, in the place of what was remembered before the start.
+    fn note_all_outages(&mut self) {
+        self.unnoted = self.journal.image.outages.keys().map(|key| (key.clone(), None)).collect();
+        let outages: Vec<Outage> = self.courier.outages().collect();
+        for outage in outages {
+            self.outage_changed(outage.destination, outage.endpoint, Some(&outage));
+        }
+        self.write_outages();
+    }
+
+    /// Writes down what has changed of what is to be remembered of outages.
     fn note_outages(&mut self) {
-        let clock = &self.clock;
-        let uid = |outage: &Outage| outage.endpoint.and_then(|id| self.directory.uid(id)).map(str::to_owned);
-        let notes: Vec<OutageNote> =
-            self.courier.outages().map(|o| OutageNote::new(&o, uid(&o), |at| clock.to_wall(at))).collect();
-        if notes != self.journal.image.outages {
-            let out = |notes: &[OutageNote]| notes.iter().filter(|note| note.lost.is_some()).count();
-            let (before, after) = (out(&self.journal.image.outages), out(&notes));
-            if before != after {
-                if let Some(more) = self.outage_lines.due() {
-                    info!(before, after, more, "destinations held to be out");
-                }
+        for ChangedOutage { destination, endpoint, outage } in self.courier.changed_outages() {
+            self.outage_changed(destination, endpoint, outage.as_ref());
+        }
+        if !self.unnoted.is_empty() {
+            self.write_outages();
+        }
+    }
+
+    fn outage_changed(&mut self, to: DestinationId, endpoint: Option<EndpointId>, outage: Option<&Outage>) {
+        let uid = endpoint.map(|id| {
+            let listed = self.directory.uid(id).map(str::to_owned);
+            listed.or_else(|| self.outage_uids.get(&id).cloned()).ok_or(id)
+        });
+        // One that has no name any more had nothing noted.
+        let Ok(uid) = uid.transpose() else { return };
+        if let Some((id, uid)) = endpoint.zip(uid.as_ref()) {
+            match outage {
+                Some(_) => drop(self.outage_uids.insert(id, uid.clone())),
+                None => drop(self.outage_uids.remove(&id)),
+            }
+        }
+        let note = outage.map(|outage| OutageNote::new(outage, uid.clone(), |at| self.clock.to_wall(at)));
+        self.unnoted.insert((to.0, uid), note);
+    }
+
+    /// What cannot be written stays until the next step.
+    fn write_outages(&mut self) {
+        let noted = &self.journal.image.outages;
+        self.unnoted.retain(|key, note| noted.get(key) != note.as_ref());
+        if self.unnoted.is_empty() {
+            return;
+        }
+        let changes = self.unnoted.iter().map(|(key, note)| match note {
+            Some(note) => OutageChange::Noted(note.clone()),
+            None => OutageChange::Over(key.clone()),
+        });
+        let before = noted.out();
+        let written = self.journal.outages(&changes.collect::<Vec<_>>());
+        if written.is_ok() {
+            self.unnoted.clear();
+        }
+        self.note(written);
+        let after = self.journal.image.outages.out();
+        if before != after {
+            if let Some(more) = self.outage_lines.due() {
+                info!(before, after, more, "destinations held to be out");
             }
-            let written = self.journal.outages(notes);
-            self.note(written);
         }
     }
 
--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use cloverstile::list::{Target, Update};
 use cloverstile::Outage;
+use postcard::ser_flavors::Size;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, OpenOptions};
@@ -26,6 +27,8 @@
 const FRAME: usize = 8;
 /// A longer record is damage. The longest is a whole list of endpoints.
 const LONGEST: usize = 4 << 20;
+/// What may have any number of entries is written in records of about this size.
+const PIECE: usize = 1 << 20;
 
 #[derive(Debug, Error)]
 pub enum JournalError {
@@ -92,7 +95,22 @@
     pub share: f64,
 }
 
+/// What an outage is of: a destination, or the endpoint of this uid where endpoints are separate routes.
+pub type OutageKey = (u32, Option<String>);
+
+/// What has changed of the outages that are remembered.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum OutageChange {
+    /// In the place of what was noted of it before.
+    Noted(OutageNote),
+    Over(OutageKey),
+}
+
 impl OutageNote {
+    pub fn key(&self) -> OutageKey {
+        (self.destination, self.uid.clone())
+    }
+
     /// From the module's figures; `wall` turns its times into wall time, `uid` names its endpoint.
     pub fn new(outage: &Outage, uid: Option<String>, wall: impl Fn(cloverstile::Time) -> u64) -> Self {
         OutageNote {
@@ -119,7 +137,7 @@
     Whole(u32, Held),
     /// The list of endpoints as it was told.
     Targets(Update),
-    /// All outages that are remembered now.
+    /// All outages that are remembered now. Older builds wrote them whole at each change.
     Outages(Vec<OutageNote>),
     /// Every destination that was ever listed.
     Destinations(Vec<u32>),
@@ -127,6 +145,47 @@
     Tenant(u32, String),
     /// An endpoint that operators leave out from now on, or use again.
     Detached(String, bool),
+    /// Outages that are remembered from now on, or not any more.
+    OutageChanges(Vec<OutageChange>),
+}
+
+/// The outages that are remembered.
+#[derive(Default)]
+pub struct Outages {
+    notes: BTreeMap<OutageKey, OutageNote>,
+    /// Notes of what is held to be out.
+    out: usize,
+}
+
+impl Outages {
+    pub fn get(&self, key: &OutageKey) -> Option<&OutageNote> {
+        self.notes.get(key)
+    }
+
+    pub fn keys(&self) -> impl Iterator<Item = &OutageKey> {
+        self.notes.keys()
+    }
+
+    pub fn notes(&self) -> impl Iterator<Item = &OutageNote> {
+        self.notes.values()
+    }
+
+    /// Destinations, and endpoints that are separate routes, that are held to be out.
+    pub fn out(&self) -> usize {
+        self.out
+    }
+
+    fn change(&mut self, change: OutageChange) {
+        let out = |note: &OutageNote| usize::from(note.lost.is_some());
+        let before = match change {
+            OutageChange::Noted(note) => {
+                self.out += out(&note);
+                self.notes.insert(note.key(), note)
+            }
+            OutageChange::Over(key) => self.notes.remove(&key),
+        };
+        self.out -= before.as_ref().map_or(0, out);
+    }
 }
 
 /// What the records add up to.
@@ -139,7 +198,7 @@
     pub targets: BTreeMap<String, Target>,
     /// One that has no endpoints just now may get others.
     pub destinations: BTreeSet<u32>,
-    pub outages: Vec<OutageNote>,
+    pub outages: Outages,
     /// Endpoints that operators leave out, by their uids, listed or not.
     pub detached: BTreeSet<String>,
 }
@@ -190,7 +249,13 @@
                     }
                 }
             }
-            Record::Outages(outages) => self.outages = outages,
+            Record::Outages(notes) => {
+                self.outages = Outages::default();
+                notes.into_iter().for_each(|note| self.outages.change(OutageChange::Noted(note)));
+            }
+            Record::OutageChanges(changes) => {
+                changes.into_iter().for_each(|change| self.outages.change(change));
+            }
             Record::Tenant(number, tenant) => {
                 if let Some(held) = self.held.get_mut(&number) {
                     held.taken.tenant = tenant;
@@ -287,8 +352,11 @@
         self.append(Record::Targets(update))
     }
 
-    pub fn outages(&mut self, outages: Vec<OutageNote>) -> Result<(), JournalError> {
-        self.append(Record::Outages(outages))
+    pub fn outages(&mut self, changes: &[OutageChange]) -> Result<(), JournalError> {
+        for piece in pieces(changes)? {
+            self.append(Record::OutageChanges(piece.into_iter().cloned().collect()))?;
+        }
+        Ok(())
     }
 
     pub fn detached(&mut self, uid: &str, out: bool) -> Result<(), JournalError> {
@@ -345,7 +413,10 @@
         let targets = self.image.targets.values().cloned().collect();
         write(Record::Targets(Update { rev: self.image.rev, all: true, targets }))?;
         write(Record::Destinations(self.image.destinations.iter().copied().collect()))?;
-        write(Record::Outages(self.image.outages.clone()))?;
+        for piece in pieces(self.image.outages.notes())? {
+            let noted = |note: &OutageNote| OutageChange::Noted(note.clone());
+            write(Record::OutageChanges(piece.into_iter().map(noted).collect()))?;
+        }
         for uid in &self.image.detached {
             write(Record::Detached(uid.clone(), true))?;
         }
@@ -371,6 +442,24 @@
     taken_cost(&held.taken)
 }
 
+/// Cuts a list into runs that stay well below the longest record; an entry that is longer makes a run of its own.
+fn pieces<'a, T: Serialize + 'a>(list: impl IntoIterator<Item = &'a T>) -> postcard::Result<Vec<Vec<&'a T>>> {
+    let (mut runs, mut run, mut size) = (Vec::new(), Vec::new(), 0);
+    for entry in list {
+        let more = postcard::serialize_with_flavor(entry, Size::default())?;
+        if size + more > PIECE && !run.is_empty() {
+            runs.push(std::mem::take(&mut run));
+            size = 0;
+        }
+        size += more;
+        run.push(entry);
+    }
+    if !run.is_empty() {
+        runs.push(run);
+    }
+    Ok(runs)
+}
+
 fn frame(record: &Record) -> Result<Vec<u8>, JournalError> {
     let payload = postcard::to_stdvec(record)?;
     if payload.len() > LONGEST {
--- a/tests/journals.rs
+++ b/tests/journals.rs
@@ -1,8 +1,13 @@
 //! Journals that other builds have written, and what is in them that once did not fit.
 
+#[path = "../src/bin/gullcart/journal.rs"]
+#[allow(dead_code)]
+mod journal;
 mod world;
 
+use journal::{Journal, OutageChange, OutageKey, OutageNote};
 use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
 use world::*;
 
 /// A journal as it was written while destinations had 16 bits: compacted once, and gone on with. Of destinations 1, 300
@@ -144,3 +149,142 @@
     assert_eq!(courier.client().enqueue("after", "0", "salary", u32::MAX, b"x"), "+OK");
     assert_eq!(world.call_among_notices().endpoint, 2);
 }
+
+/// A folder for a journal alone; it is removed at the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("gullcart-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    fn journal(&self, disk: u64) -> Journal {
+        Journal::open(&self.0, disk).unwrap()
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        std::fs::read(self.0.join("journal")).unwrap()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn outage(rng: &mut fastrand::Rng, (destination, uid): OutageKey) -> OutageNote {
+    OutageNote {
+        destination,
+        uid,
+        since_ms: rng.u64(..),
+        evidence: rng.u32(..),
+        lost: [None, Some(false), Some(true)][rng.usize(..3)],
+        returned_ms: rng.bool().then(|| rng.u64(..)),
+        share: rng.f64(),
+    }
+}
+
+fn assert_noted(journal: &Journal, known: &BTreeMap<OutageKey, OutageNote>) {
+    let outages = &journal.image.outages;
+    assert_eq!(outages.notes().collect::<Vec<_>>(), known.values().collect::<Vec<_>>());
+    assert_eq!(outages.out(), known.values().filter(|note| note.lost.is_some()).count());
+}
+
+/// Outages that are noted one by one come back as they are, over kills and compactions, and a tail that is torn
+/// anywhere takes back no more than the last change.
+#[test]
+fn outages_are_noted_as_they_change() {
+    let folder = Folder::new("outages");
+    const DISK: u64 = 20_000;
+    let mut compacted = 0;
+    for seed in 0..20 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut journal = folder.journal(DISK);
+        let mut known: BTreeMap<OutageKey, OutageNote> =
+            journal.image.outages.notes().map(|note| (note.key(), note.clone())).collect();
+        for _ in 0..200 {
+            let before = (folder.bytes(), known.clone());
+            let uid = rng.bool().then(|| format!("s-{}", rng.u32(..4)));
+            let key = (70_000 * rng.u32(..8), uid);
+            let change = if rng.u32(..3) > 0 {
+                let note = outage(&mut rng, key);
+                known.insert(note.key(), note.clone());
+                OutageChange::Noted(note)
+            } else {
+                known.remove(&key);
+                OutageChange::Over(key)
+            };
+            journal.outages(&[change]).unwrap();
+            assert_noted(&journal, &known);
+            let now = folder.bytes();
+            let grown = now.starts_with(&before.0);
+            compacted += u32::from(!grown);
+            if rng.u32(..20) == 0 {
+                drop(journal);
+                if grown && rng.bool() {
+                    let torn = rng.usize(before.0.len()..now.len());
+                    std::fs::write(folder.0.join("journal"), &now[..torn]).unwrap();
+                    known = before.1;
+                }
+                journal = folder.journal(DISK);
+                assert_noted(&journal, &known);
+            }
+        }
+    }
+    assert!(compacted > 0);
+}
+
+/// Outages of more destinations than one record can hold outlast a compaction.
+#[test]
+fn any_number_of_outages_is_compacted() {
+    const COUNT: u32 = 70_000;
+    const DISK: u64 = 40_000_000;
+    let folder = Folder::new("many-outages");
+    let mut rng = fastrand::Rng::with_seed(7);
+    let name = "a-name-that-is-as-long-as-those-that-are-in-use-in-the-field";
+    let known: BTreeMap<OutageKey, OutageNote> = (0..COUNT)
+        .map(|to| outage(&mut rng, (to, Some(format!("{name}-{to}")))))
+        .map(|note| (note.key(), note))
+        .collect();
+    let mut journal = folder.journal(DISK);
+    let all: Vec<OutageChange> = known.values().cloned().map(OutageChange::Noted).collect();
+    journal.outages(&all).unwrap();
+    let whole = folder.bytes().len();
+    assert!(whole > 4 << 20, "{whole} bytes would fit one record");
+    let mut size = whole;
+    while folder.bytes().len() >= size {
+        size = folder.bytes().len();
+        journal.outages(&all).unwrap();
+    }
+    drop(journal);
+    assert_noted(&folder.journal(DISK), &known);
+}
+
+/// What was noted of an outage since the start binds the next process: one call is on trial.
+#[test]
+fn an_outage_outlasts_a_kill() {
+    let world = World::patient(1, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    for id in ["a", "b", "c", "d"] {
+        assert_eq!(client.enqueue(id, "0", &format!("notice,k={id}"), 1, b"x"), "+OK");
+    }
+    (0..4).for_each(|_| world.call().reset());
+    courier.log_until("destinations held to be out before=0 after=1");
+    let courier = courier.kill_and_restart();
+    // A line for the outage would come before the one for the operators, had it been forgotten.
+    assert_eq!(courier.operate("POST /_lameduck/on"), 200);
+    courier.log_until("operators have told to empty");
+    assert!(!courier.has_logged("destinations held to be out"));
+    assert_eq!(courier.operate("POST /_lameduck/off"), 200);
+    let mut left = BTreeSet::from(["a", "b", "c", "d"]);
+    while !left.is_empty() {
+        let call = world.call();
+        left.remove(call.id.as_str());
+        call.answer("200 OK", "");
+    }
+    courier.log_until("destinations held to be out before=1 after=0");
+}
