Write a list that no record can hold in parts that count only together

Cause: a record is 4 MiB at most and held a whole list, so that with tens of thousands of endpoints neither a list nor any compaction could be written any more; a list or line of the watch beyond 4 MiB was damage, and a long line was searched from its beginning at each part that came.

Change: an update that does not fit about 1 MiB goes into parts (record TargetsPart, at the end of the enum), written in one go and taken up with the last of them; a torn tail leaves the list before it, with its rev. Shorter ones are written as before, and all journals so far are read. Destinations are compacted in several records, too. The watch takes lists and lines of up to 16 MiB, and searches what came once.

Tests (tests/journals.rs): 50,000 endpoints, torn at twelve seeded places, with a change or the same list after it; two such updates and 1.4 million destinations over a compaction; over sockets 80,000 endpoints, known at the start and told by the watch, over two kills.

--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -25,7 +25,7 @@
 const PER_MESSAGE: u64 = 128;
 /// Length and checksum before each record.
 const FRAME: usize = 8;
-/// A longer record is damage. The longest is a whole list of endpoints.
+/// A longer record is damage.
 const LONGEST: usize = 4 << 20;
 /// What may have any number of entries is written in records of about this size.
 const PIECE: usize = 1 << 20;
@@ -135,11 +135,11 @@
     Over(u32),
     /// A message with all that is known of it; compaction writes these.
     Whole(u32, Held),
-    /// The list of endpoints as it was told.
+    /// The list of endpoints as it was told, or what has changed of it.
     Targets(Update),
     /// All outages that are remembered now. Older builds wrote them whole at each change.
     Outages(Vec<OutageNote>),
-    /// Every destination that was ever listed.
+    /// Destinations that were listed at some time.
     Destinations(Vec<u32>),
     /// Whose message it is.
     Tenant(u32, String),
@@ -147,6 +147,9 @@
     Detached(String, bool),
     /// Outages that are remembered from now on, or not any more.
     OutageChanges(Vec<OutageChange>),
+    /// One of some parts that are the list together: its place from 0, and how many there are. Nothing of them counts
+    /// until the last one is there.
+    TargetsPart(u32, u32, Update),
 }
 
 /// The outages that are remembered.
@@ -201,6 +204,8 @@
     pub outages: Outages,
     /// Endpoints that operators leave out, by their uids, listed or not.
     pub detached: BTreeSet<String>,
+    /// The parts so far of a list that is not whole yet.
+    parts: Vec<Update>,
 }
 
 impl Image {
@@ -236,17 +241,19 @@
                 self.held.remove(&number);
             }
             Record::Targets(update) => {
-                self.rev = update.rev;
-                if update.all {
-                    self.targets.clear();
+                self.parts.clear();
+                self.list(update);
+            }
+            Record::TargetsPart(place, of, update) => {
+                // What a process did not come to the end of is over when the next one begins.
+                if place == 0 {
+                    self.parts.clear();
+                }
+                if place as usize == self.parts.len() {
+                    self.parts.push(update);
                 }
-                for target in update.targets {
-                    self.destinations.insert(target.pod_group);
-                    if target.is_gone() {
-                        self.targets.remove(&target.uid);
-                    } else {
-                        self.targets.insert(target.uid.clone(), target);
-                    }
+                if self.parts.len() == of as usize {
+                    std::mem::take(&mut self.parts).into_iter().for_each(|part| self.list(part));
                 }
             }
             Record::Outages(notes) => {
@@ -266,6 +273,21 @@
             Record::Detached(uid, false) => drop(self.detached.remove(&uid)),
         }
     }
+
+    fn list(&mut self, update: Update) {
+        self.rev = update.rev;
+        if update.all {
+            self.targets.clear();
+        }
+        for target in update.targets {
+            self.destinations.insert(target.pod_group);
+            if target.is_gone() {
+                self.targets.remove(&target.uid);
+            } else {
+                self.targets.insert(target.uid.clone(), target);
+            }
+        }
+    }
 }
 
 pub struct Journal {
@@ -348,8 +370,16 @@
         result
     }
 
+    /// Writes all of an update or, as far as the next process is concerned, nothing of it.
     pub fn targets(&mut self, update: Update) -> Result<(), JournalError> {
-        self.append(Record::Targets(update))
+        let mut bytes = Vec::new();
+        for record in list_records(update.rev, update.all, &update.targets)? {
+            bytes.extend(frame(&record)?);
+        }
+        // At once, as a compaction between two parts would lose the first.
+        self.write(&bytes)?;
+        self.image.list(update);
+        Ok(())
     }
 
     pub fn outages(&mut self, changes: &[OutageChange]) -> Result<(), JournalError> {
@@ -367,9 +397,14 @@
         (self.disk as f64 * part) as u64
     }
 
-    /// Writes at a place of its own keeping: what a failed write left behind is written over by the next one.
     fn append(&mut self, record: Record) -> Result<(), JournalError> {
-        let bytes = frame(&record)?;
+        self.write(&frame(&record)?)?;
+        self.image.apply(record);
+        Ok(())
+    }
+
+    /// Writes at a place of its own keeping: what a failed write left behind is written over by the next one.
+    fn write(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
         let more = bytes.len() as u64;
         let mut compacted = Ok(());
         if self.size + more > self.part(FILE_PART) {
@@ -378,9 +413,8 @@
         if self.size + more > self.part(HARD_PART) {
             return compacted.and(Err(JournalError::Full));
         }
-        self.file.write_all_at(&bytes, self.size)?;
+        self.file.write_all_at(bytes, self.size)?;
         self.size += more;
-        self.image.apply(record);
         Ok(())
     }
 
@@ -410,9 +444,10 @@
             }
             Ok(file.write_all(&bytes)?)
         };
-        let targets = self.image.targets.values().cloned().collect();
-        write(Record::Targets(Update { rev: self.image.rev, all: true, targets }))?;
-        write(Record::Destinations(self.image.destinations.iter().copied().collect()))?;
+        list_records(self.image.rev, true, self.image.targets.values())?.try_for_each(&mut write)?;
+        for piece in pieces(&self.image.destinations)? {
+            write(Record::Destinations(piece.into_iter().copied().collect()))?;
+        }
         for piece in pieces(self.image.outages.notes())? {
             let noted = |note: &OutageNote| OutageChange::Noted(note.clone());
             write(Record::OutageChanges(piece.into_iter().map(noted).collect()))?;
@@ -460,6 +495,28 @@
     Ok(runs)
 }
 
+/// The records that hold an update: one if it fits, or parts. Each is made as it is asked for, so that there is no
+/// second copy of a long list.
+fn list_records<'a>(
+    rev: u64,
+    all: bool,
+    targets: impl IntoIterator<Item = &'a Target>,
+) -> postcard::Result<impl Iterator<Item = Record> + 'a> {
+    let mut runs = pieces(targets)?;
+    if runs.is_empty() {
+        runs.push(Vec::new());
+    }
+    let of = runs.len() as u32;
+    Ok((0..of).zip(runs).map(move |(place, run)| {
+        let update = Update { rev, all: all && place == 0, targets: run.into_iter().cloned().collect() };
+        if of == 1 {
+            Record::Targets(update)
+        } else {
+            Record::TargetsPart(place, of, update)
+        }
+    }))
+}
+
 fn frame(record: &Record) -> Result<Vec<u8>, JournalError> {
     let payload = postcard::to_stdvec(record)?;
     if payload.len() > LONGEST {
--- a/src/list/watch.rs
+++ b/src/list/watch.rs
@@ -15,8 +15,8 @@
 /// The watch has an empty line every 2 s; silence for this long is an outage of discovery. What was missed counts
 /// as told after 6 s, so that there is no time for a longer wait.
 const SILENCE: Duration = Duration::from_secs(3);
-/// A list, or a line of the watch, that is longer is damage.
-const LONGEST_LIST: usize = 4 << 20;
+/// A list, or a line of the watch, that is longer is damage. One of 65,536 endpoints has about 10 MiB.
+const LONGEST_LIST: usize = 16 << 20;
 
 /// What the watch has to tell.
 #[derive(Debug)]
@@ -108,6 +108,8 @@
         let mut buffer: Vec<u8> = Vec::new();
         // Up to where the buffer holds lines of an object that is not whole yet: lists may come indented.
         let mut begun = 0;
+        // Up to where there is no end of a line: a long one comes in many parts.
+        let mut searched = 0;
         let mut told = false;
         while let Some(part) = timeout(SILENCE, body.frame()).await? {
             if part.is_err() && !told {
@@ -123,8 +125,9 @@
             }
             let Ok(data) = part?.into_data() else { continue };
             buffer.extend_from_slice(&data);
-            while let Some(end) = buffer[begun..].iter().position(|byte| *byte == b'\n') {
-                let end = begun + end;
+            while let Some(end) = buffer[searched..].iter().position(|byte| *byte == b'\n') {
+                let end = searched + end;
+                searched = end + 1;
                 let line = &buffer[begun..=end];
                 let blank = line.trim_ascii().is_empty();
                 if begun > 0 && blank {
@@ -149,8 +152,9 @@
                     }
                 }
                 buffer.drain(..=end);
-                begun = 0;
+                (begun, searched) = (0, 0);
             }
+            searched = buffer.len();
             if buffer.len() > LONGEST_LIST {
                 return Err(AgentError::Long);
             }
--- a/tests/journals.rs
+++ b/tests/journals.rs
@@ -5,6 +5,7 @@
 mod journal;
 mod world;
 
+use cloverstile::list::{Target, Update};
 use journal::{Journal, OutageChange, OutageKey, OutageNote};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
@@ -288,3 +289,119 @@
     }
     courier.log_until("destinations held to be out before=1 after=0");
 }
+
+/// An update whose record would be too long.
+fn long_update(rev: u64, all: bool, count: u32) -> Update {
+    let target = |number| Target {
+        uid: format!("a-name-that-is-as-long-as-those-that-are-in-use-in-the-field-{rev}-{number}"),
+        endpoint: "127.0.0.1:9".to_owned(),
+        az: "kingston".to_owned(),
+        model: "banks".to_owned(),
+        pod_group: number,
+        state: "SERVING".to_owned(),
+        capacity_hint: 1.0,
+    };
+    Update { rev, all, targets: (0..count).map(target).collect() }
+}
+
+/// What a journal holds of the list: its version, how many endpoints, and their least uid.
+fn listed(journal: &Journal) -> (u64, usize, Option<&str>) {
+    let image = &journal.image;
+    (image.rev, image.targets.len(), image.targets.keys().next().map(String::as_str))
+}
+
+/// A list that no record can hold is there whole or not at all, wherever its tail is torn; what was left of it spoils
+/// nothing that comes after it.
+#[test]
+fn a_list_of_many_records_counts_whole_or_not_at_all() {
+    const MANY: u32 = 50_000;
+    const DISK: u64 = 100_000_000;
+    let folder = Folder::new("long-list");
+    let mut journal = folder.journal(DISK);
+    journal.targets(long_update(1, true, 3)).unwrap();
+    let small = folder.bytes();
+    let before = listed(&journal);
+    assert_eq!((before.0, before.1), (1, 3));
+    let mut whole = folder.journal(DISK);
+    whole.targets(long_update(2, true, MANY)).unwrap();
+    let bytes = folder.bytes();
+    assert!(bytes.len() > small.len() + (4 << 20), "{} bytes would fit one record", bytes.len());
+    drop(whole);
+    let whole = folder.journal(DISK);
+    let after = listed(&whole);
+    assert_eq!((after.0, after.1), (2, MANY as usize));
+    let mut rng = fastrand::Rng::with_seed(11);
+    for _ in 0..12 {
+        let torn = rng.usize(small.len()..bytes.len());
+        std::fs::write(folder.0.join("journal"), &bytes[..torn]).unwrap();
+        assert_eq!(listed(&folder.journal(DISK)), before, "torn at {torn}");
+        // A change of what was known, and the same list once more.
+        let again = rng.bool();
+        if again {
+            folder.journal(DISK).targets(long_update(2, true, MANY)).unwrap();
+            assert_eq!(listed(&folder.journal(DISK)), after, "torn at {torn}");
+        } else {
+            folder.journal(DISK).targets(long_update(3, false, 2)).unwrap();
+            let (rev, count, _) = listed(&folder.journal(DISK));
+            assert_eq!((rev, count), (3, 5), "torn at {torn}");
+        }
+    }
+}
+
+/// A long list, a long change and more destinations than a record holds outlast a compaction.
+#[test]
+fn a_long_list_is_compacted() {
+    const MANY: u32 = 50_000;
+    const DISK: u64 = 50_000_000;
+    /// From here on, each takes four bytes.
+    const FAR: u32 = 1 << 21;
+    let folder = Folder::new("compacted-list");
+    let mut journal = folder.journal(DISK);
+    journal.image.destinations.extend(FAR..FAR + (11 << 17));
+    let mut size = 0;
+    let mut rev = 0;
+    while folder.bytes().len() >= size {
+        size = folder.bytes().len();
+        rev += 2;
+        journal.targets(long_update(rev, true, MANY)).unwrap();
+        journal.targets(long_update(rev + 1, false, MANY)).unwrap();
+    }
+    let known = listed(&journal);
+    assert_eq!((known.0, known.1), (rev + 1, 2 * MANY as usize));
+    let again = folder.journal(DISK);
+    assert_eq!(listed(&again), known);
+    assert!(again.image.targets.keys().eq(journal.image.targets.keys()));
+    assert_eq!(again.image.destinations, journal.image.destinations);
+}
+
+/// So many endpoints that their list fits no record, first as the start knows them and then as the watch tells them: a
+/// process that was killed knows them all.
+#[test]
+fn a_list_beyond_one_record_outlasts_a_kill() {
+    const MANY: u32 = 80_000;
+    let mut world = World::patient(1, 60.0);
+    world.enlarge(MANY as usize);
+    world.apart = true;
+    // One that stays out is held when the process is killed.
+    let send = |courier: &Courier, id: &str, destination| {
+        assert_eq!(courier.client().enqueue(id, "0", "salary", destination, b"x"), "+OK");
+        let call = world.call_among_notices();
+        assert_eq!(call.id, id);
+        call
+    };
+    let courier = world.start();
+    let _out = send(&courier, "known", MANY);
+    assert!(world.journal().len() > 4 << 20);
+    world.known.set(1);
+    let courier = courier.kill_and_restart();
+    courier.log_until("the journal was replayed held=1 rev=1");
+    send(&courier, "replayed", MANY - 1).answer("200 OK", "");
+    world.tell_all(2);
+    courier.log_until("the list has changed rev=2 changed=80000");
+    let _out = send(&courier, "watched", MANY - 2);
+    let courier = courier.kill_and_restart();
+    let replayed = courier.log_until("the journal was replayed");
+    assert!(replayed.ends_with("rev=2"), "{replayed}");
+    send(&courier, "again", MANY - 3).answer("200 OK", "");
+    assert!(!courier.has_logged("cannot be written"));
+}
