Look only at endpoints that are not listed when some are forgotten, and copy no message at a start

Change: the directory keeps the endpoints that are not listed and not forgotten in a map of their own, and forgetting looks at these alone; the endpoints with calls out are found once for all of them.

Tests: tests/list.rs counts what forgetting looks at, and covers numbers of another process and endpoints that operators use again without their being listed.

--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -303,8 +303,7 @@
         self.clock = Clock::resumed(clock);
         self.directory.renumber(numbers);
         let image = &self.journal.image;
-        let targets = image.targets.values().cloned().collect();
-        self.directory.apply(&Update { rev: image.rev, all: true, targets });
+        self.directory.apply_whole(image.targets.values());
         for uid in &image.detached {
             self.directory.detach(uid, true);
         }
@@ -477,20 +476,18 @@
     }
 
     /// Takes up again all that the journal holds.
-    pub fn restore(&mut self, known: Update) {
+    pub fn restore(&mut self, known: &Update) {
         let now = self.clock.now();
         self.journal.image.destinations.extend(known.targets.iter().map(|target| target.pod_group));
         let image = &self.journal.image;
         // What was told before the restart counts as told: the list that comes with the start may be older.
         if image.rev == 0 || image.rev < known.rev {
-            let update = Update { all: true, ..known };
-            let listing = self.directory.apply(&update);
+            let listing = self.directory.apply_whole(&known.targets);
             self.courier.handle(now, Event::Listed(listing));
-            let written = self.journal.targets(update);
+            let written = self.journal.targets(Update { all: true, ..known.clone() });
             self.note(written);
         } else {
-            let targets = image.targets.values().cloned().collect();
-            let listing = self.directory.apply(&Update { rev: image.rev, all: true, targets });
+            let listing = self.directory.apply_whole(image.targets.values());
             self.courier.handle(now, Event::Listed(listing));
         }
         for uid in self.journal.image.detached.clone() {
@@ -513,32 +510,33 @@
             self.courier.handle(now, Event::Recalled(outage));
         }
         self.note_all_outages();
-        let held: Vec<(u32, Held)> = self.journal.image.held.iter().map(|(n, h)| (*n, h.clone())).collect();
-        for (number, held) in &held {
-            self.restore_message(now, *number, held);
+        let held: Vec<u32> = self.journal.image.held.keys().copied().collect();
+        for number in &held {
+            self.restore_message(now, *number);
         }
         info!(held = held.len(), rev = self.rev(), "the journal was replayed");
     }
 
-    fn restore_message(&mut self, now: Time, number: u32, held: &Held) {
-        self.known.insert(held.taken.id.clone(), Known { number, shared: false });
-        let message = MessageId(number);
-        let Some(taken) = self.accepted(number, &held.taken) else {
-            warn!(class = held.taken.class, "a message of a class that is not known any more is given up");
+    fn restore_message(&mut self, now: Time, number: u32) {
+        let Some(held) = self.journal.image.held.get(&number) else { return };
+        let Held { ref taken, attempts, maybe_ran, out, verdict } = *held;
+        let (message, id) = (MessageId(number), taken.id.clone());
+        self.known.insert(id.clone(), Known { number, shared: false });
+        let Some(taken) = self.accepted(number, taken) else {
+            warn!(class = taken.class, "a message of a class that is not known any more is given up");
             self.owe(message, Verdict::Failed);
             return;
         };
         // An attempt without an outcome may have run, also if its process died before the first byte.
-        if held.out.is_some() {
+        if out.is_some() {
             let written = self.journal.outcome(number, true);
             self.note(written);
         }
-        let maybe_ran = held.maybe_ran.or(held.out).map(|(ms, zone)| (self.clock.of_wall(ms), ZoneId(zone)));
-        let answered = held.verdict.is_some();
-        let restored = Restored { taken, attempts: held.attempts, maybe_ran, answered };
+        let maybe_ran = maybe_ran.or(out).map(|(ms, zone)| (self.clock.of_wall(ms), ZoneId(zone)));
+        let restored = Restored { taken, attempts, maybe_ran, answered: verdict.is_some() };
         self.courier.handle(now, Event::Restored(restored));
-        if let Some(verdict) = held.verdict {
-            let _ = self.notices.send(Notice { message, id: held.taken.id.clone(), verdict });
+        if let Some(verdict) = verdict {
+            let _ = self.notices.send(Notice { message, id, verdict });
         }
     }
 
@@ -801,8 +799,10 @@
 
     /// Forgets the endpoints that are gone, once none of their calls is out.
     fn forget_gone(&mut self) {
-        let out = &self.out;
-        self.directory.forget_gone(|endpoint| out.values().any(|out| out.endpoint == endpoint));
+        if self.directory.has_unlisted() {
+            let called: HashSet<EndpointId> = self.out.values().map(|out| out.endpoint).collect();
+            self.directory.forget_gone(|endpoint| called.contains(&endpoint));
+        }
     }
 
     /// Takes back the calls to some endpoints that are still connecting: by the time their connections are up
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -236,7 +236,7 @@
     let mut listener = match begun {
         None => {
             first = driver.first_watch();
-            driver.restore(known.clone());
+            driver.restore(&known);
             bind(&config.listen).await?
         }
         Some(Begun { memory, listener, lock: held, old }) => {
@@ -244,7 +244,7 @@
             match memory {
                 Ok(baton) => driver.resume(baton, old.stop()),
                 Err(rules) => {
-                    driver.restore(known.clone());
+                    driver.restore(&known);
                     driver.obey(rules);
                 }
             }
@@ -325,7 +325,7 @@
                     // What the other one did is in the journal alone, and so is what may have run there.
                     driver.give_up(&mut events).await;
                     driver = plan.driver()?;
-                    driver.restore(known.clone());
+                    driver.restore(&known);
                 }
                 driver.stand(before);
             }
--- a/src/list/directory.rs
+++ b/src/list/directory.rs
@@ -64,6 +64,8 @@
     entries: BTreeMap<EndpointId, Entry>,
     /// Endpoints that operators leave out: they keep their numbers, listed or not.
     detached: BTreeSet<EndpointId>,
+    /// Endpoints that are not listed and not forgotten, with their names.
+    unlisted: BTreeMap<EndpointId, String>,
 }
 
 struct Entry {
@@ -86,6 +88,7 @@
             numbers: HashMap::new(),
             entries: BTreeMap::new(),
             detached: BTreeSet::new(),
+            unlisted: BTreeMap::new(),
         }
     }
 
@@ -103,6 +106,8 @@
     pub fn renumber(&mut self, numbers: Numbers) {
         (self.zones, self.kinds, self.last) = (numbers.zones, numbers.kinds, numbers.last);
         self.numbers = numbers.numbers.into_iter().collect();
+        // Those that are listed leave this with the list, which comes next.
+        self.unlisted = self.numbers.iter().map(|(uid, id)| (*id, uid.clone())).collect();
     }
 
     /// Where an endpoint is called; none if it is not known, or its address cannot be read.
@@ -148,6 +153,9 @@
         } else {
             self.detached.remove(&id);
         }
+        if !self.entries.contains_key(&id) {
+            self.unlisted.insert(id, uid.to_owned());
+        }
         id
     }
 
@@ -156,26 +164,49 @@
         self.entries.get(&id).is_some_and(|entry| entry.mode == Mode::Gone)
     }
 
-    /// Forgets the endpoints that are gone, but those that are still needed.
+    /// Whether there are endpoints that are not listed and not forgotten.
+    pub fn has_unlisted(&self) -> bool {
+        !self.unlisted.is_empty()
+    }
+
+    /// Forgets the endpoints that are not listed any more, but those that are still needed. What operators leave out
+    /// keeps its number. It looks at none that is listed.
     pub fn forget_gone(&mut self, needed: impl Fn(EndpointId) -> bool) {
-        self.entries.retain(|id, entry| entry.mode != Mode::Gone || needed(*id));
-        self.numbers.retain(|_, id| self.entries.contains_key(id) || self.detached.contains(id));
+        let Directory { unlisted, entries, numbers, detached, .. } = self;
+        unlisted.retain(|id, uid| {
+            if needed(*id) {
+                return true;
+            }
+            entries.remove(id);
+            let keeps = detached.contains(id);
+            if !keeps {
+                numbers.remove(uid);
+            }
+            keeps
+        });
     }
 
     /// Takes news of the list in and words them for the module.
     pub fn apply(&mut self, update: &Update) -> Listing {
         if update.all {
-            // What a whole list does not name is gone.
-            self.entries.values_mut().for_each(|entry| entry.mode = Mode::Gone);
-        }
-        let entries = update.targets.iter().map(|target| self.entry(target)).collect();
-        if update.all {
-            Listing::Whole(entries)
+            self.apply_whole(&update.targets)
         } else {
-            Listing::Changes(entries)
+            Listing::Changes(update.targets.iter().map(|target| self.entry(target)).collect())
         }
     }
 
+    /// Takes a whole list in, and words it for the module.
+    pub fn apply_whole<'a>(&mut self, targets: impl IntoIterator<Item = &'a Target>) -> Listing {
+        // What a whole list does not name is gone.
+        for (id, entry) in &mut self.entries {
+            if entry.mode != Mode::Gone {
+                entry.mode = Mode::Gone;
+                self.unlisted.insert(*id, entry.uid.clone());
+            }
+        }
+        Listing::Whole(targets.into_iter().map(|target| self.entry(target)).collect())
+    }
+
     fn number_of(&mut self, uid: &str) -> EndpointId {
         *self.numbers.entry(uid.to_owned()).or_insert_with(|| {
             self.last += 1;
@@ -198,6 +229,10 @@
         let kind = KindId(place(&mut self.kinds, &target.model).into());
         let (uid, destination) = (target.uid.clone(), DestinationId(target.pod_group));
         let batch = self.batches.get(usize::from(kind.0)).copied().unwrap_or(1);
+        match mode {
+            Mode::Gone => drop(self.unlisted.insert(id, uid.clone())),
+            Mode::Ready | Mode::Draining => drop(self.unlisted.remove(&id)),
+        }
         self.entries.insert(id, Entry { uid, zone, destination, address, mode, batch });
         Endpoint { id, zone, kind, destination, mode, weight: target.capacity_hint }
     }
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -76,12 +76,31 @@
     assert_eq!(["a", "b", "c", "d"].map(|uid| number(&directory, uid)), [None, Some(2), Some(3), Some(4)]);
     directory.forget_gone(|_| false);
     assert_eq!(number(&directory, "b"), None);
+    let looked_at = std::cell::RefCell::new(Vec::new());
+    directory.forget_gone(|id| {
+        looked_at.borrow_mut().push(id.0);
+        false
+    });
+    assert_eq!(*looked_at.borrow(), [3], "only what operators leave out is not listed and not forgotten");
     // One that comes back keeps its number only while it is known.
     directory.apply(&update(false, vec![target("a", "SERVING"), target("c", "SERVING")]));
     assert_eq!(["a", "c"].map(|uid| number(&directory, uid)), [Some(5), Some(3)]);
     assert!(directory.is_open(EndpointId(5)) && !directory.is_open(EndpointId(3)));
     directory.detach("c", false);
-    assert!(directory.is_open(EndpointId(3)));
+    assert!(directory.is_open(EndpointId(3)) && !directory.has_unlisted());
+    // Numbers of another process: those that the list does not name any more are forgotten, too.
+    let mut next = self::directory();
+    next.renumber(directory.numbers());
+    next.apply_whole(&[target("d", "SERVING"), target("e", "SERVING")]);
+    next.forget_gone(|id| id == EndpointId(5));
+    assert_eq!(["a", "c", "d", "e"].map(|uid| number(&next, uid)), [Some(5), None, Some(4), Some(6)]);
+    // What operators use again without its being listed leaves no number behind.
+    next.detach("f", true);
+    next.forget_gone(|_| false);
+    assert_eq!(number(&next, "f"), Some(7));
+    next.detach("f", false);
+    next.forget_gone(|_| false);
+    assert_eq!((number(&next, "f"), next.has_unlisted()), (None, false));
 }
 
 /// The decisions know nothing of the list that discovery tells.
