--- a/src/choice.rs
+++ b/src/choice.rs
@@ -85,7 +85,6 @@
 const BURST_S: f64 = 0.4;
 /// A token is waited for at least and at most so many seconds at a time.
 const TOKEN_GAPS: (f64, f64) = (0.001, 3600.0);
-const ROUNDING: Duration = Duration::from_micros(1);
 /// Part of a tenant's quota assumed to be this courier's, in even parts; traffic is not even.
 const QUOTA_PART: f64 = 1.25;
 /// Weight of what waiting for one more aim would lose, against the worth itself.
@@ -126,6 +125,10 @@
 /// ... and where it refused, so much for each courier at first and at most: they all lose it at one moment,
 /// and together they must ask less than it can answer, or none of them hears of it again.
 const WATCH_GAPS_REFUSED: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
+/// ... but never longer than this: what discovery has counts as told 6 s later, also to whom it refused, and 2 s
+/// after that nothing may go to what drains. The answer may take `WATCH_PATIENCE`. Where this binds, all couriers
+/// have grown to it, and spread over its second half.
+const WATCH_GAP_LONGEST: Duration = Duration::from_secs(5);
 /// Within so much for each courier it is asked for the first time: what a herd asks for at its start is done
 /// in its turn, long after most of them have given up waiting ...
 const WATCH_FIRST: Duration = Duration::from_millis(100);
@@ -292,7 +295,12 @@
                 let (first, longest) = WATCH_GAPS_REFUSED;
                 let gap =
                     growing_gap(first, 1.0, self.refused).min(longest).mul_f64(couriers(&self.settings));
-                self.watch_at = Some(now + gap.mul_f64(self.rng.f64()));
+                let chance = self.rng.f64();
+                self.watch_at = Some(if gap > WATCH_GAP_LONGEST {
+                    now + WATCH_GAP_LONGEST.mul_f64(0.5 + 0.5 * chance)
+                } else {
+                    now + gap.mul_f64(chance)
+                });
                 self.refused += 1;
                 return;
             }
@@ -749,7 +757,7 @@
         let rate = self.pace(now, id);
         let cold = Duration::from_secs_f64(cold_s(&self.settings));
         let route = self.routes.get_mut(&id)?;
-        route.filling = false;
+        route.settle(self.last_round, burst(route.rate));
         if route.told_wait > now {
             earliest(&mut look.change, route.returned.map(|returned| returned + cold));
             return Some(route.told_wait);
@@ -790,9 +798,9 @@
             let left = (1.0 - route.tokens) / rate;
             let gap = left.clamp(TOKEN_GAPS.0, TOKEN_GAPS.1);
             let due = now + Duration::from_secs_f64(gap);
-            // Looked at a little before, as sums round; and at each step where the gap is not the true one.
+            // What is nearer or further than a gap may be is looked at at each step.
             look.always |= gap != left;
-            earliest(&mut look.change, Some(due - ROUNDING));
+            earliest(&mut look.change, Some(due - Duration::from_secs_f64(TOKEN_GAPS.0)));
             return Some(due);
         }
         Some(now)
