--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -1,9 +1,10 @@
 //! The one loop that owns the decision module: events in, actions out, timers. It waits for no socket.
 
+use cloverstile::list::{Directory, News, Numbers, Update};
 use cloverstile::*;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -15,8 +16,8 @@
 use crate::admin::{Done, Operation};
 use crate::calls::{Call, CallEnded, Ended, Load, Pool, Stop};
 use crate::clients::{Answer, Enqueue};
-use crate::discovery::{Directory, Notice, Numbers, Update};
-use crate::journal::{Held, Journal, JournalError, OutageNote, Taken, Verdict};
+use crate::journal::{Held, Journal, JournalError, OutageChange, OutageKey, OutageNote, Taken, Verdict};
+use crate::notices::Notice;
 use crate::past::Past;
 use crate::seldom::Seldom;
 use crate::wire::Descriptor;
@@ -51,11 +52,8 @@
     Enqueue(Enqueue, oneshot::Sender<Answer>),
     /// A client was gone before it could be told that its message was taken on, by its own hand-in.
     Unheard(MessageId),
-    Listed(Update),
-    /// The watch on the list is up.
-    Watched,
-    /// It is not, or the list was refused.
-    Unwatched(Listing),
+    /// News of the list of endpoints, or of the watch on it.
+    List(News),
     /// What became of the messages of one call.
     Ended(EndpointId, Vec<MessageId>, CallEnded),
     /// The platform has these notices.
@@ -238,6 +236,10 @@
     wake: Option<(Instant, u64)>,
     actions: Vec<Action>,
     counts: Counts,
+    /// What of outages has changed and is not in the journal yet; none where nothing is remembered any more.
+    unnoted: BTreeMap<OutageKey, Option<OutageNote>>,
+    /// Names of endpoints with outages: their ends come when the list may have forgotten them.
+    outage_uids: HashMap<EndpointId, String>,
     journal_errors: Seldom,
     late: Seldom,
     outage_lines: Seldom,
@@ -283,6 +285,8 @@
             wake: None,
             actions: Vec::new(),
             counts: Counts::default(),
+            unnoted: BTreeMap::new(),
+            outage_uids: HashMap::new(),
             journal_errors: Seldom::default(),
             late: Seldom::default(),
             outage_lines: Seldom::default(),
@@ -299,8 +303,7 @@
         self.clock = Clock::resumed(clock);
         self.directory.renumber(numbers);
         let image = &self.journal.image;
-        let targets = image.targets.values().cloned().collect();
-        self.directory.apply(&Update { rev: image.rev, all: true, targets });
+        self.directory.apply_whole(image.targets.values());
         for uid in &image.detached {
             self.directory.detach(uid, true);
         }
@@ -313,6 +316,7 @@
                 let _ = self.notices.send(notice);
             }
         }
+        self.note_all_outages();
         for CallAway { endpoint, messages, sent } in calls {
             let (reason, stopped) = oneshot::channel();
             let call = Rc::new(CallOut {
@@ -472,26 +476,24 @@
     }
 
     /// Takes up again all that the journal holds.
-    pub fn restore(&mut self, known: Update) {
+    pub fn restore(&mut self, known: &Update) {
         let now = self.clock.now();
         self.journal.image.destinations.extend(known.targets.iter().map(|target| target.pod_group));
         let image = &self.journal.image;
         // What was told before the restart counts as told: the list that comes with the start may be older.
         if image.rev == 0 || image.rev < known.rev {
-            let update = Update { all: true, ..known };
-            let listing = self.directory.apply(&update);
+            let listing = self.directory.apply_whole(&known.targets);
             self.courier.handle(now, Event::Listed(listing));
-            let written = self.journal.targets(update);
+            let written = self.journal.targets(Update { all: true, ..known.clone() });
             self.note(written);
         } else {
-            let targets = image.targets.values().cloned().collect();
-            let listing = self.directory.apply(&Update { rev: image.rev, all: true, targets });
+            let listing = self.directory.apply_whole(image.targets.values());
             self.courier.handle(now, Event::Listed(listing));
         }
         for uid in self.journal.image.detached.clone() {
             self.detach(now, &uid, true);
         }
-        for note in self.journal.image.outages.clone() {
+        for note in self.journal.image.outages.notes() {
             let endpoint = note.uid.as_ref().and_then(|uid| self.directory.number(uid));
             if note.uid.is_some() && endpoint.is_none() {
                 continue;
@@ -507,32 +509,34 @@
             };
             self.courier.handle(now, Event::Recalled(outage));
         }
-        let held: Vec<(u32, Held)> = self.journal.image.held.iter().map(|(n, h)| (*n, h.clone())).collect();
-        for (number, held) in &held {
-            self.restore_message(now, *number, held);
+        self.note_all_outages();
+        let held: Vec<u32> = self.journal.image.held.keys().copied().collect();
+        for number in &held {
+            self.restore_message(now, *number);
         }
         info!(held = held.len(), rev = self.rev(), "the journal was replayed");
     }
 
-    fn restore_message(&mut self, now: Time, number: u32, held: &Held) {
-        self.known.insert(held.taken.id.clone(), Known { number, shared: false });
-        let message = MessageId(number);
-        let Some(taken) = self.accepted(number, &held.taken) else {
-            warn!(class = held.taken.class, "a message of a class that is not known any more is given up");
+    fn restore_message(&mut self, now: Time, number: u32) {
+        let Some(held) = self.journal.image.held.get(&number) else { return };
+        let Held { ref taken, attempts, maybe_ran, out, verdict } = *held;
+        let (message, id) = (MessageId(number), taken.id.clone());
+        self.known.insert(id.clone(), Known { number, shared: false });
+        let Some(taken) = self.accepted(number, taken) else {
+            warn!(class = taken.class, "a message of a class that is not known any more is given up");
             self.owe(message, Verdict::Failed);
             return;
         };
         // An attempt without an outcome may have run, also if its process died before the first byte.
-        if held.out.is_some() {
+        if out.is_some() {
             let written = self.journal.outcome(number, true);
             self.note(written);
         }
-        let maybe_ran = held.maybe_ran.or(held.out).map(|(ms, zone)| (self.clock.of_wall(ms), ZoneId(zone)));
-        let answered = held.verdict.is_some();
-        let restored = Restored { taken, attempts: held.attempts, maybe_ran, answered };
+        let maybe_ran = maybe_ran.or(out).map(|(ms, zone)| (self.clock.of_wall(ms), ZoneId(zone)));
+        let restored = Restored { taken, attempts, maybe_ran, answered: verdict.is_some() };
         self.courier.handle(now, Event::Restored(restored));
-        if let Some(verdict) = held.verdict {
-            let _ = self.notices.send(Notice { message, id: held.taken.id.clone(), verdict });
+        if let Some(verdict) = verdict {
+            let _ = self.notices.send(Notice { message, id, verdict });
         }
     }
 
@@ -638,9 +642,9 @@
                 }
             }
             Input::Unheard(message) => self.unheard(now, message),
-            Input::Listed(update) => self.listed(now, update),
-            Input::Watched => self.courier.handle(now, Event::Watching),
-            Input::Unwatched(why) => self.courier.handle(now, Event::Listed(why)),
+            Input::List(News::Listed(update)) => self.listed(now, update),
+            Input::List(News::Watched) => self.courier.handle(now, Event::Watching),
+            Input::List(News::Unwatched(why)) => self.courier.handle(now, Event::Listed(why)),
             Input::Ended(endpoint, messages, ended) => self.call_ended(now, endpoint, &messages, &ended),
             Input::Heard(messages) => {
                 for message in messages {
@@ -795,8 +799,10 @@
 
     /// Forgets the endpoints that are gone, once none of their calls is out.
     fn forget_gone(&mut self) {
-        let out = &self.out;
-        self.directory.forget_gone(|endpoint| out.values().any(|out| out.endpoint == endpoint));
+        if self.directory.has_unlisted() {
+            let called: HashSet<EndpointId> = self.out.values().map(|out| out.endpoint).collect();
+            self.directory.forget_gone(|endpoint| called.contains(&endpoint));
+        }
     }
 
     /// Takes back the calls to some endpoints that are still connecting: by the time their connections are up
@@ -1007,22 +1013,65 @@
         }
     }
 
-    /// Writes down what is to be remembered of outages, when it has changed.
+    /// Takes over what is to be remembered of outages, in the place of what was remembered before the start.
+    fn note_all_outages(&mut self) {
+        self.unnoted = self.journal.image.outages.keys().map(|key| (key.clone(), None)).collect();
+        let outages: Vec<Outage> = self.courier.outages().collect();
+        for outage in outages {
+            self.outage_changed(outage.destination, outage.endpoint, Some(&outage));
+        }
+        self.write_outages();
+    }
+
+    /// Writes down what has changed of what is to be remembered of outages.
     fn note_outages(&mut self) {
-        let clock = &self.clock;
-        let uid = |outage: &Outage| outage.endpoint.and_then(|id| self.directory.uid(id)).map(str::to_owned);
-        let notes: Vec<OutageNote> =
-            self.courier.outages().map(|o| OutageNote::new(&o, uid(&o), |at| clock.to_wall(at))).collect();
-        if notes != self.journal.image.outages {
-            let out = |notes: &[OutageNote]| notes.iter().filter(|note| note.lost.is_some()).count();
-            let (before, after) = (out(&self.journal.image.outages), out(&notes));
-            if before != after {
-                if let Some(more) = self.outage_lines.due() {
-                    info!(before, after, more, "destinations held to be out");
-                }
+        for ChangedOutage { destination, endpoint, outage } in self.courier.changed_outages() {
+            self.outage_changed(destination, endpoint, outage.as_ref());
+        }
+        if !self.unnoted.is_empty() {
+            self.write_outages();
+        }
+    }
+
+    fn outage_changed(&mut self, to: DestinationId, endpoint: Option<EndpointId>, outage: Option<&Outage>) {
+        let uid = endpoint.map(|id| {
+            let listed = self.directory.uid(id).map(str::to_owned);
+            listed.or_else(|| self.outage_uids.get(&id).cloned()).ok_or(id)
+        });
+        // One that has no name any more had nothing noted.
+        let Ok(uid) = uid.transpose() else { return };
+        if let Some((id, uid)) = endpoint.zip(uid.as_ref()) {
+            match outage {
+                Some(_) => drop(self.outage_uids.insert(id, uid.clone())),
+                None => drop(self.outage_uids.remove(&id)),
+            }
+        }
+        let note = outage.map(|outage| OutageNote::new(outage, uid.clone(), |at| self.clock.to_wall(at)));
+        self.unnoted.insert((to.0, uid), note);
+    }
+
+    /// What cannot be written stays until the next step.
+    fn write_outages(&mut self) {
+        let noted = &self.journal.image.outages;
+        self.unnoted.retain(|key, note| noted.get(key) != note.as_ref());
+        if self.unnoted.is_empty() {
+            return;
+        }
+        let changes = self.unnoted.iter().map(|(key, note)| match note {
+            Some(note) => OutageChange::Noted(note.clone()),
+            None => OutageChange::Over(key.clone()),
+        });
+        let before = noted.out();
+        let written = self.journal.outages(&changes.collect::<Vec<_>>());
+        if written.is_ok() {
+            self.unnoted.clear();
+        }
+        self.note(written);
+        let after = self.journal.image.outages.out();
+        if before != after {
+            if let Some(more) = self.outage_lines.due() {
+                info!(before, after, more, "destinations held to be out");
             }
-            let written = self.journal.outages(notes);
-            self.note(written);
         }
     }
 
--- a/src/bin/gullcart/journal.rs
+++ b/src/bin/gullcart/journal.rs
@@ -4,7 +4,9 @@
 //! process, not the machine), but the system call must have returned.
 
 use bytes::Bytes;
+use cloverstile::list::{Target, Update};
 use cloverstile::Outage;
+use postcard::ser_flavors::Size;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, OpenOptions};
@@ -13,8 +15,6 @@
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
-use crate::discovery::{Target, Update};
-
 /// Messages are taken on only while what is live fits into this part of the disk ...
 const LIVE_PART: f64 = 0.43;
 /// ... and the file is compacted before it passes this part, so that old and new fit side by side.
@@ -25,8 +25,10 @@
 const PER_MESSAGE: u64 = 128;
 /// Length and checksum before each record.
 const FRAME: usize = 8;
-/// A longer record is damage. The longest is a whole list of endpoints.
+/// A longer record is damage.
 const LONGEST: usize = 4 << 20;
+/// What may have any number of entries is written in records of about this size.
+const PIECE: usize = 1 << 20;
 
 #[derive(Debug, Error)]
 pub enum JournalError {
@@ -48,7 +50,7 @@
     pub key: u64,
     /// By name: its place in the settings may differ after a restart.
     pub class: String,
-    pub destination: u16,
+    pub destination: u32,
     pub idempotency_key: Option<String>,
     /// Wall time, Unix milliseconds, as are all times here.
     pub deadline_ms: u64,
@@ -84,7 +86,7 @@
 /// An [`Outage`] in terms that mean the same to the next process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OutageNote {
-    pub destination: u16,
+    pub destination: u32,
     pub uid: Option<String>,
     pub since_ms: u64,
     pub evidence: u32,
@@ -93,7 +95,22 @@
     pub share: f64,
 }
 
+/// What an outage is of: a destination, or the endpoint of this uid where endpoints are separate routes.
+pub type OutageKey = (u32, Option<String>);
+
+/// What has changed of the outages that are remembered.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum OutageChange {
+    /// In the place of what was noted of it before.
+    Noted(OutageNote),
+    Over(OutageKey),
+}
+
 impl OutageNote {
+    pub fn key(&self) -> OutageKey {
+        (self.destination, self.uid.clone())
+    }
+
     /// From the module's figures; `wall` turns its times into wall time, `uid` names its endpoint.
     pub fn new(outage: &Outage, uid: Option<String>, wall: impl Fn(cloverstile::Time) -> u64) -> Self {
         OutageNote {
@@ -118,16 +135,60 @@
     Over(u32),
     /// A message with all that is known of it; compaction writes these.
     Whole(u32, Held),
-    /// The list of endpoints as it was told.
+    /// The list of endpoints as it was told, or what has changed of it.
     Targets(Update),
-    /// All outages that are remembered now.
+    /// All outages that are remembered now. Older builds wrote them whole at each change.
     Outages(Vec<OutageNote>),
-    /// Every destination that was ever listed.
-    Destinations(Vec<u16>),
+    /// Destinations that were listed at some time.
+    Destinations(Vec<u32>),
     /// Whose message it is.
     Tenant(u32, String),
     /// An endpoint that operators leave out from now on, or use again.
     Detached(String, bool),
+    /// Outages that are remembered from now on, or not any more.
+    OutageChanges(Vec<OutageChange>),
+    /// One of some parts that are the list together: its place from 0, and how many there are. Nothing of them counts
+    /// until the last one is there.
+    TargetsPart(u32, u32, Update),
+}
+
+/// The outages that are remembered.
+#[derive(Default)]
+pub struct Outages {
+    notes: BTreeMap<OutageKey, OutageNote>,
+    /// Notes of what is held to be out.
+    out: usize,
+}
+
+impl Outages {
+    pub fn get(&self, key: &OutageKey) -> Option<&OutageNote> {
+        self.notes.get(key)
+    }
+
+    pub fn keys(&self) -> impl Iterator<Item = &OutageKey> {
+        self.notes.keys()
+    }
+
+    pub fn notes(&self) -> impl Iterator<Item = &OutageNote> {
+        self.notes.values()
+    }
+
+    /// Destinations, and endpoints that are separate routes, that are held to be out.
+    pub fn out(&self) -> usize {
+        self.out
+    }
+
+    fn change(&mut self, change: OutageChange) {
+        let out = |note: &OutageNote| usize::from(note.lost.is_some());
+        let before = match change {
+            OutageChange::Noted(note) => {
+                self.out += out(&note);
+                self.notes.insert(note.key(), note)
+            }
+            OutageChange::Over(key) => self.notes.remove(&key),
+        };
+        self.out -= before.as_ref().map_or(0, out);
+    }
 }
 
 /// What the records add up to.
@@ -139,10 +200,12 @@
     pub rev: u64,
     pub targets: BTreeMap<String, Target>,
     /// One that has no endpoints just now may get others.
-    pub destinations: BTreeSet<u16>,
-    pub outages: Vec<OutageNote>,
+    pub destinations: BTreeSet<u32>,
+    pub outages: Outages,
     /// Endpoints that operators leave out, by their uids, listed or not.
     pub detached: BTreeSet<String>,
+    /// The parts so far of a list that is not whole yet.
+    parts: Vec<Update>,
 }
 
 impl Image {
@@ -178,20 +241,28 @@
                 self.held.remove(&number);
             }
             Record::Targets(update) => {
-                self.rev = update.rev;
-                if update.all {
-                    self.targets.clear();
+                self.parts.clear();
+                self.list(update);
+            }
+            Record::TargetsPart(place, of, update) => {
+                // What a process did not come to the end of is over when the next one begins.
+                if place == 0 {
+                    self.parts.clear();
                 }
-                for target in update.targets {
-                    self.destinations.insert(target.pod_group);
-                    if target.is_gone() {
-                        self.targets.remove(&target.uid);
-                    } else {
-                        self.targets.insert(target.uid.clone(), target);
-                    }
+                if place as usize == self.parts.len() {
+                    self.parts.push(update);
                 }
+                if self.parts.len() == of as usize {
+                    std::mem::take(&mut self.parts).into_iter().for_each(|part| self.list(part));
+                }
+            }
+            Record::Outages(notes) => {
+                self.outages = Outages::default();
+                notes.into_iter().for_each(|note| self.outages.change(OutageChange::Noted(note)));
+            }
+            Record::OutageChanges(changes) => {
+                changes.into_iter().for_each(|change| self.outages.change(change));
             }
-            Record::Outages(outages) => self.outages = outages,
             Record::Tenant(number, tenant) => {
                 if let Some(held) = self.held.get_mut(&number) {
                     held.taken.tenant = tenant;
@@ -202,6 +273,21 @@
             Record::Detached(uid, false) => drop(self.detached.remove(&uid)),
         }
     }
+
+    fn list(&mut self, update: Update) {
+        self.rev = update.rev;
+        if update.all {
+            self.targets.clear();
+        }
+        for target in update.targets {
+            self.destinations.insert(target.pod_group);
+            if target.is_gone() {
+                self.targets.remove(&target.uid);
+            } else {
+                self.targets.insert(target.uid.clone(), target);
+            }
+        }
+    }
 }
 
 pub struct Journal {
@@ -284,12 +370,23 @@
         result
     }
 
+    /// Writes all of an update or, as far as the next process is concerned, nothing of it.
     pub fn targets(&mut self, update: Update) -> Result<(), JournalError> {
-        self.append(Record::Targets(update))
+        let mut bytes = Vec::new();
+        for record in list_records(update.rev, update.all, &update.targets)? {
+            bytes.extend(frame(&record)?);
+        }
+        // At once, as a compaction between two parts would lose the first.
+        self.write(&bytes)?;
+        self.image.list(update);
+        Ok(())
     }
 
-    pub fn outages(&mut self, outages: Vec<OutageNote>) -> Result<(), JournalError> {
-        self.append(Record::Outages(outages))
+    pub fn outages(&mut self, changes: &[OutageChange]) -> Result<(), JournalError> {
+        for piece in pieces(changes)? {
+            self.append(Record::OutageChanges(piece.into_iter().cloned().collect()))?;
+        }
+        Ok(())
     }
 
     pub fn detached(&mut self, uid: &str, out: bool) -> Result<(), JournalError> {
@@ -300,9 +397,14 @@
         (self.disk as f64 * part) as u64
     }
 
-    /// Writes at a place of its own keeping: what a failed write left behind is written over by the next one.
     fn append(&mut self, record: Record) -> Result<(), JournalError> {
-        let bytes = frame(&record)?;
+        self.write(&frame(&record)?)?;
+        self.image.apply(record);
+        Ok(())
+    }
+
+    /// Writes at a place of its own keeping: what a failed write left behind is written over by the next one.
+    fn write(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
         let more = bytes.len() as u64;
         let mut compacted = Ok(());
         if self.size + more > self.part(FILE_PART) {
@@ -311,9 +413,8 @@
         if self.size + more > self.part(HARD_PART) {
             return compacted.and(Err(JournalError::Full));
         }
-        self.file.write_all_at(&bytes, self.size)?;
+        self.file.write_all_at(bytes, self.size)?;
         self.size += more;
-        self.image.apply(record);
         Ok(())
     }
 
@@ -343,10 +444,14 @@
             }
             Ok(file.write_all(&bytes)?)
         };
-        let targets = self.image.targets.values().cloned().collect();
-        write(Record::Targets(Update { rev: self.image.rev, all: true, targets }))?;
-        write(Record::Destinations(self.image.destinations.iter().copied().collect()))?;
-        write(Record::Outages(self.image.outages.clone()))?;
+        list_records(self.image.rev, true, self.image.targets.values())?.try_for_each(&mut write)?;
+        for piece in pieces(&self.image.destinations)? {
+            write(Record::Destinations(piece.into_iter().copied().collect()))?;
+        }
+        for piece in pieces(self.image.outages.notes())? {
+            let noted = |note: &OutageNote| OutageChange::Noted(note.clone());
+            write(Record::OutageChanges(piece.into_iter().map(noted).collect()))?;
+        }
         for uid in &self.image.detached {
             write(Record::Detached(uid.clone(), true))?;
         }
@@ -372,6 +477,46 @@
     taken_cost(&held.taken)
 }
 
+/// Cuts a list into runs that stay well below the longest record; an entry that is longer makes a run of its own.
+fn pieces<'a, T: Serialize + 'a>(list: impl IntoIterator<Item = &'a T>) -> postcard::Result<Vec<Vec<&'a T>>> {
+    let (mut runs, mut run, mut size) = (Vec::new(), Vec::new(), 0);
+    for entry in list {
+        let more = postcard::serialize_with_flavor(entry, Size::default())?;
+        if size + more > PIECE && !run.is_empty() {
+            runs.push(std::mem::take(&mut run));
+            size = 0;
+        }
+        size += more;
+        run.push(entry);
+    }
+    if !run.is_empty() {
+        runs.push(run);
+    }
+    Ok(runs)
+}
+
+/// The records that hold an update: one if it fits, or parts. Each is made as it is asked for, so that there is no
+/// second copy of a long list.
+fn list_records<'a>(
+    rev: u64,
+    all: bool,
+    targets: impl IntoIterator<Item = &'a Target>,
+) -> postcard::Result<impl Iterator<Item = Record> + 'a> {
+    let mut runs = pieces(targets)?;
+    if runs.is_empty() {
+        runs.push(Vec::new());
+    }
+    let of = runs.len() as u32;
+    Ok((0..of).zip(runs).map(move |(place, run)| {
+        let update = Update { rev, all: all && place == 0, targets: run.into_iter().cloned().collect() };
+        if of == 1 {
+            Record::Targets(update)
+        } else {
+            Record::TargetsPart(place, of, update)
+        }
+    }))
+}
+
 fn frame(record: &Record) -> Result<Vec<u8>, JournalError> {
     let payload = postcard::to_stdvec(record)?;
     if payload.len() > LONGEST {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -126,9 +126,9 @@
 /// ... and where it refused, so much for each courier at first and at most: they all lose it at one moment,
 /// and together they must ask less than it can answer, or none of them hears of it again.
 const WATCH_GAPS_REFUSED: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
-/// ... but never longer than this: what discovery has counts as told 6 s later, also to whom it refused, and 2 s
-/// after that nothing may go to what drains. The answer may take `WATCH_PATIENCE`. Where this binds, all couriers
-/// have grown to it, and spread over its second half.
+/// ... but never longer than this: what discovery has counts as told 6 s later, also to whom it refused, and
+/// 2 s after that nothing may go to what drains; the answer may take `WATCH_PATIENCE`. Where this binds, all
+/// couriers have grown to it, and spread over its second half.
 const WATCH_GAP_LONGEST: Duration = Duration::from_secs(5);
 /// Within so much for each courier it is asked for the first time: what a herd asks for at its start is done
 /// in its turn, long after most of them have given up waiting ...
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 mod books;
 mod choice;
 mod interface;
+pub mod list;
 mod queue;
 mod settings;
 
