--- /dev/null
+++ b/src/bin/lab/hollow.rs
@@ -0,0 +1,240 @@
+//! A hollow courier: the real decision module, stepped on a clock of its own as the real courier's loop steps
+//! it, with answers from a script in the place of sockets. It opens none and reads no clock.
+
+use cloverstile::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// The module's clock at the start. Times before it have to be expressible.
+const EPOCH: Time = Time(1_000_000_000_000_000);
+
+/// What endpoints do with calls.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// From a call to its answer.
+    pub latency: Duration,
+    /// From a call to the refusal of a connection.
+    pub down_after: Duration,
+    /// Calls a second that one endpoint takes before it answers 503.
+    pub limit: Option<f64>,
+    /// What the answers tell of the limit.
+    pub allowance: Option<Allowance>,
+    /// Endpoints that take no connection.
+    pub down: BTreeSet<EndpointId>,
+}
+
+impl Script {
+    /// What becomes of a call, and when that is known.
+    fn outcome(
+        &self,
+        now: Time,
+        room: &mut HashMap<EndpointId, (f64, Time)>,
+        to: EndpointId,
+    ) -> (Outcome, Duration) {
+        if self.down.contains(&to) {
+            return (Outcome::ConnectFailed, self.down_after);
+        }
+        if let Some(limit) = self.limit {
+            let (left, since) = room.entry(to).or_insert((1.0, now));
+            *left = (*left + (now - *since).as_secs_f64() * limit).min(limit.max(1.0));
+            *since = now;
+            if *left < 1.0 {
+                return (Outcome::Full(None), self.latency);
+            }
+            *left -= 1.0;
+        }
+        (Outcome::Ok, self.latency)
+    }
+}
+
+/// An answer on its way to the courier.
+struct Coming {
+    message: MessageId,
+    endpoint: EndpointId,
+    outcome: Outcome,
+    sent: Time,
+}
+
+/// What a hollow courier has done.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub taken: u64,
+    pub turned_away: u64,
+    pub sent: u64,
+    pub delivered: u64,
+}
+
+pub struct Hollow {
+    courier: Courier,
+    script: Script,
+    deadline: Duration,
+    now: Time,
+    wake: Option<(Time, u64)>,
+    /// In the order in which they come.
+    coming: BTreeMap<(Time, u64), Coming>,
+    attempts: HashMap<MessageId, u16>,
+    room: HashMap<EndpointId, (f64, Time)>,
+    /// Final answers, whose hearing is told in the next step.
+    answered: Vec<MessageId>,
+    noted: Vec<Outage>,
+    actions: Vec<Action>,
+    last_message: u32,
+    last_answer: u64,
+    pub counts: Counts,
+}
+
+impl Hollow {
+    pub fn new(settings: Settings, seed: u64, script: Script) -> Self {
+        let deadline = settings.classes.first().map(|class| class.deadline).unwrap_or_default();
+        Hollow {
+            courier: Courier::new(Settings { answers_take_time: true, ..settings }, seed),
+            script,
+            deadline,
+            now: EPOCH,
+            wake: None,
+            coming: BTreeMap::new(),
+            attempts: HashMap::new(),
+            room: HashMap::new(),
+            answered: Vec::new(),
+            noted: Vec::new(),
+            actions: Vec::new(),
+            last_message: 0,
+            last_answer: 0,
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        self.courier.handle(self.now, event);
+    }
+
+    /// Hands a message in, as a client does; it may be turned away.
+    pub fn hand_in(&mut self, destination: DestinationId) {
+        self.last_message += 1;
+        let accepted = Accepted {
+            id: MessageId(self.last_message),
+            class: ClassId(0),
+            destination,
+            key: None,
+            deadline: self.now + self.deadline,
+            from_dead_courier: false,
+            tenant: TenantId(0),
+        };
+        if self.courier.takes_on(self.now, &accepted) {
+            self.counts.taken += 1;
+            self.courier.handle(self.now, Event::Accept(accepted));
+        } else {
+            self.counts.turned_away += 1;
+        }
+    }
+
+    /// Lets time pass, and tells all that has come due meanwhile.
+    pub fn pass(&mut self, by: Duration) {
+        self.now = self.now + by;
+        if let Some((_, token)) = self.wake.take_if(|(at, _)| *at <= self.now) {
+            self.courier.handle(self.now, Event::TickDue(token));
+        }
+        for message in self.answered.drain(..) {
+            self.courier.handle(self.now, Event::Heard(message));
+        }
+        while let Some(entry) = self.coming.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            let coming = entry.remove();
+            self.finish(coming);
+        }
+    }
+
+    fn finish(&mut self, Coming { message, endpoint, outcome, sent }: Coming) {
+        let complete = outcome == Outcome::Ok;
+        self.counts.delivered += u64::from(complete);
+        let attempt = self.attempts.get(&message).map_or(0, |count| count.saturating_sub(1));
+        if complete {
+            self.attempts.remove(&message);
+        }
+        let (latency, allowance) = (self.now - sent, self.script.allowance);
+        let finished = Finished { message, endpoint, attempt, outcome, latency, complete, allowance };
+        self.courier.handle(self.now, Event::Finished(finished));
+    }
+
+    /// Decides once, carries out what was decided, and looks at the outages, as the real loop does at each turn.
+    pub fn decide(&mut self) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.courier.decide(self.now, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Route { message, endpoint, .. } => {
+                    self.counts.sent += 1;
+                    *self.attempts.entry(message).or_default() += 1;
+                    let (outcome, after) = self.script.outcome(self.now, &mut self.room, endpoint);
+                    self.last_answer += 1;
+                    let coming = Coming { message, endpoint, outcome, sent: self.now };
+                    self.coming.insert((self.now + after, self.last_answer), coming);
+                }
+                Action::StopAttempt { message, .. } => {
+                    let found = self.coming.iter().find(|(_, coming)| coming.message == message);
+                    if let Some(mut coming) =
+                        found.map(|(key, _)| *key).and_then(|key| self.coming.remove(&key))
+                    {
+                        coming.outcome = Outcome::Cancelled;
+                        self.last_answer += 1;
+                        self.coming.insert((self.now, self.last_answer), coming);
+                    }
+                }
+                Action::Busy { message, .. } | Action::ReportFailure { message } => {
+                    self.attempts.remove(&message);
+                    self.answered.push(message);
+                }
+                Action::Wake { after, token } => self.wake = Some((self.now + after, token)),
+                // There are no connections to close, no watch to begin, and no log.
+                Action::CloseIdle { .. }
+                | Action::KeepInformed { .. }
+                | Action::Refresh
+                | Action::Probe { .. }
+                | Action::Tell { .. }
+                | Action::Log { .. } => {}
+            }
+        }
+        self.actions = actions;
+        self.look_at_outages();
+    }
+
+    /// What the real loop does after each decision, to write outages down when they have changed.
+    fn look_at_outages(&mut self) {
+        let outages: Vec<Outage> = self.courier.outages().collect();
+        if outages != self.noted {
+            self.noted = outages;
+        }
+    }
+
+    /// Outages that are being remembered.
+    pub fn outages(&self) -> usize {
+        self.noted.len()
+    }
+
+    /// Calls out.
+    pub fn out(&self) -> usize {
+        self.coming.len()
+    }
+
+    /// Bytes that the module's memory takes on its way to another process.
+    pub fn handed_over(&self) -> Result<u64, postcard::Error> {
+        Ok(postcard::to_io(&self.courier, Counting(0))?.0)
+    }
+}
+
+/// Counts what is written to it.
+struct Counting(u64);
+
+impl std::io::Write for Counting {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0 += bytes.len() as u64;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/bin/lab/main.rs
@@ -0,0 +1,152 @@
+//! lab: how what a courier spends grows with what it knows, holds and does.
+//!
+//! `lab scale FILE.toml` runs one experiment. Hollow couriers share this process; real ones are started beside
+//! it. Loopback only; every loop is bounded, and all that was started ends with it.
+#![forbid(unsafe_code)]
+
+mod bounds;
+mod experiment;
+mod fit;
+mod hollow;
+mod measure;
+mod module;
+mod report;
+
+use clap::{Parser, Subcommand};
+use std::fs::File;
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use thiserror::Error;
+use tokio::signal::unix::{signal, SignalKind};
+use tracing::{error, warn};
+
+use crate::bounds::{Guard, NotRun};
+use crate::experiment::{ExperimentError, Kind};
+use crate::report::{Point, Report};
+
+/// The exit code of a run that a signal ended.
+const INTERRUPTED: u8 = 130;
+
+/// Experiments with couriers, on this machine alone.
+#[derive(Parser)]
+struct Arguments {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Measures how cost grows with size, and where the target's budgets are passed.
+    Scale {
+        /// The experiment.
+        file: PathBuf,
+        /// Runs this sweep alone; may come several times.
+        #[arg(long, value_name = "NAME")]
+        only: Vec<String>,
+        /// Writes all figures there as well, as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// The courier's binary; the one beside this if absent.
+        #[arg(long, value_name = "FILE")]
+        courier: Option<PathBuf>,
+    },
+}
+
+#[derive(Debug, Error)]
+enum LabError {
+    #[error(transparent)]
+    Experiment(#[from] ExperimentError),
+    #[error("{0} cannot be written: {1}")]
+    Json(PathBuf, std::io::Error),
+    #[error("the figures cannot be written as JSON: {0}")]
+    Figures(#[from] serde_json::Error),
+    #[error("signals cannot be waited for: {0}")]
+    Signals(std::io::Error),
+    #[error("interrupted")]
+    Interrupted,
+}
+
+/// Tells a flag of the first SIGINT or SIGTERM.
+fn heed_signals() -> Result<Arc<AtomicBool>, LabError> {
+    let interrupted = Arc::new(AtomicBool::new(false));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(LabError::Signals)?;
+    let (mut interrupt, mut terminate) = {
+        let _entered = runtime.enter();
+        let open = |kind| signal(kind).map_err(LabError::Signals);
+        (open(SignalKind::interrupt())?, open(SignalKind::terminate())?)
+    };
+    let flag = interrupted.clone();
+    std::thread::spawn(move || {
+        runtime.block_on(async {
+            tokio::select! {
+                _ = interrupt.recv() => {}
+                _ = terminate.recv() => {}
+            }
+        });
+        flag.store(true, Ordering::SeqCst);
+    });
+    Ok(interrupted)
+}
+
+fn scale(
+    file: PathBuf,
+    only: &[String],
+    json: Option<PathBuf>,
+    courier: Option<PathBuf>,
+) -> Result<(), LabError> {
+    let machine = experiment::machine_memory()?;
+    let experiment = experiment::read(&file, machine, only)?;
+    if experiment.sweep.iter().any(|sweep| sweep.kind().is_real()) {
+        let beside = || std::env::current_exe().unwrap_or_default().with_file_name("gullcart");
+        let courier = courier.unwrap_or_else(beside);
+        if !courier.is_file() {
+            return Err(ExperimentError::NoCourier(courier).into());
+        }
+    }
+    let json = match json {
+        Some(path) => {
+            let file = File::create(&path).map_err(|error| LabError::Json(path.clone(), error))?;
+            Some((path, file))
+        }
+        None => None,
+    };
+    let guard = Guard::new(&experiment.bounds, heed_signals()?);
+    let mut report = Report::new(experiment.seed, experiment.bounds.memory(), experiment.target.clone());
+    for sweep in &experiment.sweep {
+        let points = match sweep.kind() {
+            Kind::Watchers | Kind::WatchersReturn | Kind::Journal => {
+                let why = NotRun::Failed("this sweep is still to be built".into());
+                sweep.sizes.iter().map(|size| Point::not_run(*size.get_ref(), &why)).collect()
+            }
+            _ => measure::sweep(&experiment, sweep, &guard),
+        };
+        println!("{}", report.add(sweep.kind(), points));
+    }
+    print!("{}", report.summary());
+    if let Some((path, mut file)) = json {
+        let written = file.write_all(report.json()?.as_bytes());
+        written.map_err(|error| LabError::Json(path, error))?;
+    }
+    if guard.is_interrupted() {
+        warn!("interrupted: what was not measured by then is said to be not run");
+        return Err(LabError::Interrupted);
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let Verb::Scale { file, only, json, courier } = Arguments::parse().verb;
+    match scale(file, &only, json, courier) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(LabError::Interrupted) => ExitCode::from(INTERRUPTED),
+        Err(error) => {
+            error!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
