--- a/src/bin/lab/main.rs
+++ b/src/bin/lab/main.rs
@@ -11,6 +11,10 @@
 mod measure;
 mod module;
 mod report;
+mod restart;
+// The tests use more of them.
+#[allow(dead_code)]
+mod stand_ins;
 
 use clap::{Parser, Subcommand};
 use std::fs::File;
@@ -100,12 +104,10 @@
 ) -> Result<(), LabError> {
     let machine = experiment::machine_memory()?;
     let experiment = experiment::read(&file, machine, only)?;
-    if experiment.sweep.iter().any(|sweep| sweep.kind().is_real()) {
-        let beside = || std::env::current_exe().unwrap_or_default().with_file_name("gullcart");
-        let courier = courier.unwrap_or_else(beside);
-        if !courier.is_file() {
-            return Err(ExperimentError::NoCourier(courier).into());
-        }
+    let beside = || std::env::current_exe().unwrap_or_default().with_file_name("gullcart");
+    let courier = courier.unwrap_or_else(beside);
+    if experiment.sweep.iter().any(|sweep| sweep.kind().is_real()) && !courier.is_file() {
+        return Err(ExperimentError::NoCourier(courier).into());
     }
     let json = match json {
         Some(path) => {
@@ -118,7 +120,8 @@
     let mut report = Report::new(experiment.seed, experiment.bounds.memory(), experiment.target.clone());
     for sweep in &experiment.sweep {
         let points = match sweep.kind() {
-            Kind::Watchers | Kind::WatchersReturn | Kind::Journal => {
+            Kind::Journal => restart::sweep(sweep, &courier, &guard),
+            Kind::Watchers | Kind::WatchersReturn => {
                 let why = NotRun::Failed("this sweep is still to be built".into());
                 sweep.sizes.iter().map(|size| Point::not_run(*size.get_ref(), &why)).collect()
             }
--- a/src/bin/lab/report.rs
+++ b/src/bin/lab/report.rs
@@ -18,6 +18,15 @@
     MemoryBytes,
     /// Of the module's memory, on its way to another process.
     HandOverBytes,
+    /// From a real courier's start to its first `+PONG`, and the processor time that this took.
+    ReadyMs,
+    ReadyCpuNs,
+    /// The most memory that a real courier had in use by then.
+    ProcessBytes,
+    JournalBytes,
+    /// Of the messages that it found, those that it sent on, and until when it had sent all.
+    TriedShare,
+    TriedMs,
 }
 
 impl Figure {
@@ -28,12 +37,18 @@
             Figure::StepP99Ns => "step, p99 ns",
             Figure::MemoryBytes => "memory, bytes",
             Figure::HandOverBytes => "hand-over, bytes",
+            Figure::ReadyMs => "until +PONG, ms",
+            Figure::ReadyCpuNs => "until +PONG, ns",
+            Figure::ProcessBytes => "process, bytes",
+            Figure::JournalBytes => "journal, bytes",
+            Figure::TriedShare => "tried, share",
+            Figure::TriedMs => "all tried after, ms",
         }
     }
 
     /// Ratios and tails are told, but no line is laid through them.
     fn is_fitted(self) -> bool {
-        !matches!(self, Figure::StepRatio | Figure::StepP99Ns)
+        !matches!(self, Figure::StepRatio | Figure::StepP99Ns | Figure::TriedShare)
     }
 
     /// What a courier has for it at the target, if the target says so.
@@ -41,7 +56,8 @@
         match self {
             Figure::StepNs if kind == Kind::ListChange => Some(target.change_ns()),
             Figure::StepNs => Some(target.event_ns()),
-            Figure::MemoryBytes => Some(target.control_memory_mb * 1e6),
+            Figure::MemoryBytes | Figure::ProcessBytes => Some(target.control_memory_mb * 1e6),
+            Figure::ReadyMs => Some(target.ready_s * 1e3),
             _ => None,
         }
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,50 +2,34 @@
 //! discovery, and clients. All ports are chosen by the system, and tests wait on what arrives.
 #![allow(dead_code)]
 
+#[path = "../../src/bin/lab/stand_ins.rs"]
+mod stand_ins;
+
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
+use stand_ins::{address_in, class, command, locked, serve, serve_calls, target, Configuration, Process};
 use std::cell::Cell;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitStatus};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+pub use stand_ins::{Agent, Call, Client, Seen};
+
 /// Far longer than anything here takes; only a failing test waits for so long.
 const PATIENCE: Duration = Duration::from_secs(20);
 /// How long nothing may happen where nothing should.
 const QUIET: Duration = Duration::from_millis(300);
 
-/// What the world has seen the courier do.
-pub enum Seen {
-    Call(Call),
-    Notice(String),
-}
-
-/// A call out at an endpoint. One that is dropped unanswered hangs.
-pub struct Call {
-    pub endpoint: usize,
-    pub path: String,
-    pub id: String,
-    pub body: Vec<u8>,
-    headers: Vec<(String, String)>,
-    answer: Sender<Option<Vec<u8>>>,
-    connection: TcpStream,
-}
-
 impl Call {
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
     }
 
-    pub fn answer(self, status: &str, headers: &str) {
-        self.raw(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n").as_bytes());
-    }
-
     /// The messages that a call for several carries: id, key, body in Base64.
     pub fn batched(&self) -> Vec<(String, Option<String>, String)> {
         assert_eq!(self.path, "/hook/batch");
@@ -63,11 +47,6 @@
         self.raw((head + &body).as_bytes());
     }
 
-    /// Answers with these bytes, whatever they say.
-    pub fn raw(self, bytes: &[u8]) {
-        let _ = self.answer.send(Some(bytes.to_vec()));
-    }
-
     /// The endpoint's side of the connection, for what comes on it beside the answer.
     pub fn stream(&self) -> TcpStream {
         self.connection.try_clone().unwrap()
@@ -84,145 +63,6 @@
         connection.set_nonblocking(true).unwrap();
         !matches!(connection.read(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
-
-    pub fn reset(self) {
-        let _ = self.answer.send(None);
-    }
-}
-
-struct Request {
-    line: String,
-    headers: Vec<(String, String)>,
-    body: Vec<u8>,
-}
-
-fn read_request(stream: &mut BufReader<TcpStream>) -> Option<Request> {
-    let mut line = String::new();
-    stream.read_line(&mut line).ok().filter(|count| *count > 0)?;
-    let mut headers = Vec::new();
-    loop {
-        let mut text = String::new();
-        stream.read_line(&mut text).ok().filter(|count| *count > 0)?;
-        let Some((name, value)) = text.trim_end().split_once(": ") else { break };
-        headers.push((name.to_ascii_lowercase(), value.to_owned()));
-    }
-    let length = headers.iter().find(|(name, _)| name == "content-length");
-    let mut body = vec![0; length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0)];
-    stream.read_exact(&mut body).ok()?;
-    Some(Request { line, headers, body })
-}
-
-/// Serves each connection on a thread of its own.
-fn serve(listener: TcpListener, each: impl Fn(TcpStream) + Clone + Send + 'static) {
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let each = each.clone();
-            thread::spawn(move || each(stream));
-        }
-    });
-}
-
-fn serve_calls(endpoint: usize, stream: TcpStream, seen: &Sender<Seen>) {
-    let Ok(mut out) = stream.try_clone() else { return };
-    let mut input = BufReader::new(stream);
-    while let Some(Request { line, headers, body }) = read_request(&mut input) {
-        let path = line.split(' ').nth(1).unwrap_or_default().to_owned();
-        let id = headers.iter().find(|(name, _)| name == "x-call-id").map(|(_, id)| id.clone());
-        let (answer, answered) = channel();
-        let Ok(connection) = out.try_clone() else { return };
-        let id = id.unwrap_or_default();
-        let call = Call { endpoint, path, id, body, headers, answer, connection };
-        if seen.send(Seen::Call(call)).is_err() {
-            return;
-        }
-        match answered.recv() {
-            Ok(Some(bytes)) => drop(out.write_all(&bytes)),
-            Ok(None) => drop(out.shutdown(Shutdown::Both)),
-            // Hangs: until the courier closes.
-            Err(_) => drop(input.read(&mut [0])),
-        }
-    }
-}
-
-/// An agent of discovery, and where it is.
-pub struct Agent {
-    state: Arc<Discovery>,
-    address: SocketAddr,
-}
-
-impl Agent {
-    fn start(seen: &Sender<Seen>) -> Self {
-        let state = Arc::new(Discovery::default());
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let (shared, seen) = (state.clone(), seen.clone());
-        serve(listener, move |stream| serve_discovery(&shared, stream, &seen));
-        Agent { state, address }
-    }
-}
-
-#[derive(Default)]
-struct Discovery {
-    /// What it answers when asked for the whole list.
-    list: Mutex<String>,
-    silent: AtomicBool,
-    /// Milliseconds before a watch is answered.
-    slow: AtomicU64,
-    hold_notices: AtomicBool,
-    /// Connections that fall silent with the next notices on them, which nobody sees.
-    lost_notices: AtomicU32,
-    notices: AtomicU32,
-    watches: Mutex<Watches>,
-}
-
-/// Open watches, and what was told so far: one that opens later is told it first.
-#[derive(Default)]
-struct Watches {
-    open: Vec<TcpStream>,
-    told: String,
-}
-
-fn serve_discovery(discovery: &Discovery, stream: TcpStream, seen: &Sender<Seen>) {
-    let Ok(mut out) = stream.try_clone() else { return };
-    let mut input = BufReader::new(stream);
-    while let Some(request) = read_request(&mut input) {
-        if request.line.starts_with("POST /v1/notices ") {
-            let less = |left: u32| left.checked_sub(1);
-            if discovery.lost_notices.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less).is_ok() {
-                while read_request(&mut input).is_some() {}
-                return;
-            }
-            discovery.notices.fetch_add(1, Ordering::SeqCst);
-            for line in String::from_utf8_lossy(&request.body).lines() {
-                let _ = seen.send(Seen::Notice(line.to_owned()));
-            }
-            if !discovery.hold_notices.load(Ordering::SeqCst) {
-                let _ = out.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
-            }
-        } else if request.line.starts_with("GET /v1/endpoints ") {
-            let list = discovery.list.lock().unwrap();
-            let _ = out.write_all(
-                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()).as_bytes(),
-            );
-        } else if !discovery.silent.load(Ordering::SeqCst) {
-            std::thread::sleep(Duration::from_millis(discovery.slow.load(Ordering::SeqCst)));
-            let mut watches = discovery.watches.lock().unwrap();
-            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
-            let _ = out.write_all(format!("{head}{}", watches.told).as_bytes());
-            if let Ok(watch) = out.try_clone() {
-                watches.open.push(watch);
-            }
-        }
-    }
-}
-
-/// A class of the settings: its name, effect, window in milliseconds, and whether it keeps its order.
-fn class(aim: u64, name: &str, effect: &str, window: u64, order: bool) -> Value {
-    json!({
-        "Name": name, "Effect": effect, "Group": "all", "RepeatWindow": window * 1_000_000,
-        "OneAtATime": order, "Worth": 1.0, "LateShare": 0.5,
-        "Aim": aim * 1_000_000_000, "Deadline": aim * 8 * 1_000_000_000,
-    })
 }
 
 /// A socket that is bound, and its address.
@@ -298,7 +138,7 @@
             let send = send.clone();
             serve(listener, move |stream| serve_calls(number, stream, &send));
         }
-        let discovery = Agent::start(&send);
+        let discovery = Agent::start(&send).unwrap();
         World {
             _cleanup: Cleanup(folder.clone()),
             folder,
@@ -388,10 +228,7 @@
     fn target(&self, endpoint: usize, state: &str) -> Value {
         let otherwise = if self.apart { endpoint as u32 + 1 } else { 1 };
         let destination = self.destinations.get(endpoint).copied().unwrap_or(otherwise);
-        json!({
-            "uid": format!("s-{endpoint}"), "endpoint": self.endpoints[endpoint].to_string(), "az": "kingston",
-            "model": "banks", "pod_group": destination, "state": state, "capacity_hint": self.rate, "boot_ms": 0,
-        })
+        target(&format!("s-{endpoint}"), self.endpoints[endpoint], destination, state, self.rate)
     }
 
     pub fn start(&self) -> Courier<'_> {
@@ -417,10 +254,10 @@
 
     /// Another agent, which knows that an endpoint drains.
     pub fn agent_with_drain(&self, endpoint: usize) -> Agent {
-        let agent = Agent::start(&self.send);
+        let agent = Agent::start(&self.send).unwrap();
         let state = |at| if at == endpoint { "DRAINING" } else { "SERVING" };
         let targets: Vec<Value> = (0..self.endpoints.len()).map(|at| self.target(at, state(at))).collect();
-        *agent.state.list.lock().unwrap() = json!({"rev": 5, "all": true, "targets": targets}).to_string();
+        *locked(&agent.state.list) = json!({"rev": 5, "all": true, "targets": targets}).to_string();
         agent
     }
 
@@ -438,22 +275,21 @@
             class(self.aim, "brief", "idempotency_key", 400, true),
             class(self.aim, "salary", "non_idempotent", 0, false),
         ];
-        let config = json!({
-            "name": "n0", "listen": self.listen.get().to_string(), "admin_addr": "127.0.0.1:0", "discovery": agent.address.to_string(), "seed": "7",
-            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets, "disk_mb": self.disk_mb},
-            "known": {"rev": 1, "all": true, "targets": targets},
-            "settings": {
-                "Balancers": self.couriers, "Lanes": classes, "MachineTypes": ["banks"], "Zones": [self.zone.get()],
-                "Projects": [{"Name": "north", "QuotaPerS": 0.0}, {"Name": "south", "QuotaPerS": 1e6}],
-                "OverShareWorth": 0.2,
-                "WeightSource": "nominal", "FamilyInfo": {"CallsOut": self.slots, "KindBatch": [self.batch], "OwnLimits": [false]},
-                "Permissions": {"MostHeld": self.most_held, "SendCap": 8, "Cancel": true, "ConnIdle": 15_000_000_000_u64, "ConnectTimeout": 5_000_000_000_u64},
-                "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Fall": 2_000_000_000},
-            },
-        });
-        let new = self.folder.join("config.new");
-        std::fs::write(&new, config.to_string()).unwrap();
-        std::fs::rename(new, self.folder.join("config.json")).unwrap();
+        let configuration = Configuration {
+            listen: self.listen.get(),
+            discovery: agent.address,
+            memory_mb: self.memory_mb,
+            sockets: self.sockets,
+            disk_mb: self.disk_mb,
+            targets: &targets,
+            couriers: self.couriers,
+            classes: &classes,
+            zone: self.zone.get(),
+            slots: self.slots,
+            batch: self.batch,
+            most_held: self.most_held,
+        };
+        configuration.write(&self.folder).unwrap();
     }
 
     /// The next thing that the courier does.
@@ -548,12 +384,7 @@
 
     /// Tells the watch some text, whatever it says.
     pub fn tell_text(&self, text: &str) {
-        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-        let mut watches = self.discovery.state.watches.lock().unwrap();
-        watches.told.push_str(&chunk);
-        for watch in &mut watches.open {
-            let _ = watch.write_all(chunk.as_bytes());
-        }
+        self.discovery.tell(text);
     }
 
     /// Discovery takes connections and says nothing.
@@ -568,7 +399,7 @@
 
     /// Watches that discovery has answered.
     pub fn watches(&self) -> usize {
-        self.discovery.state.watches.lock().unwrap().open.len()
+        locked(&self.discovery.state.watches).open.len()
     }
 
     pub fn disk_used(&self) -> u64 {
@@ -586,53 +417,26 @@
     }
 }
 
-#[derive(Default)]
-struct Log {
-    lines: Mutex<Vec<String>>,
-    more: Condvar,
-}
-
 /// A running courier; it is killed when dropped.
 pub struct Courier<'a> {
     world: &'a World,
-    child: Child,
-    log: Arc<Log>,
+    process: Process,
     address: SocketAddr,
     admin: SocketAddr,
 }
 
-/// The address that a line of the log tells.
-fn address_in(line: &str) -> SocketAddr {
-    let address = line.split_once("address=").map(|(_, rest)| rest.split_whitespace().next());
-    address.flatten().unwrap().parse().unwrap()
-}
-
 impl<'a> Courier<'a> {
     fn start(world: &'a World) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_gullcart"))
-            .env("BALANCER_STATE", world.folder.join("state"))
-            .env("TMPDIR", world.folder.join("tmp"))
-            .env("BALANCER_CONFIG", world.folder.join("config.json"))
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let log = Arc::new(Log::default());
-        let (errors, shared) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
-        thread::spawn(move || {
-            for line in errors.lines().map_while(Result::ok) {
-                shared.lines.lock().unwrap().push(line);
-                shared.more.notify_all();
-            }
-        });
+        let process = Process::start(Path::new(env!("CARGO_BIN_EXE_gullcart")), &world.folder).unwrap();
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut courier = Courier { world, child, log, address: nowhere, admin: nowhere };
-        courier.admin = address_in(&courier.log_until("operators may call"));
+        let mut courier = Courier { world, process, address: nowhere, admin: nowhere };
+        courier.admin = address_in(&courier.log_until("operators may call")).unwrap();
         courier
     }
 
     /// Waits until it serves.
     pub fn listening(mut self) -> Self {
-        self.address = address_in(&self.log_until("listening"));
+        self.address = address_in(&self.log_until("listening")).unwrap();
         self
     }
 
@@ -657,32 +461,23 @@
 
     /// Waits for so many such lines, and returns the last of them.
     pub fn log_times(&self, words: &str, times: usize) -> String {
-        let end = Instant::now() + PATIENCE;
-        let mut lines = self.log.lines.lock().unwrap();
-        loop {
-            if let Some(line) = lines.iter().filter(|line| line.contains(words)).nth(times - 1) {
-                return line.clone();
-            }
-            let left = end.saturating_duration_since(Instant::now());
-            assert!(!left.is_zero(), "the log never says '{words}': {lines:#?}");
-            lines = self.log.more.wait_timeout(lines, left).unwrap().0;
-        }
+        self.process
+            .log_times(words, times, PATIENCE)
+            .unwrap_or_else(|lines| panic!("the log never says '{words}': {lines:#?}"))
     }
 
     /// Whether a line of the log so far holds some words.
     pub fn has_logged(&self, words: &str) -> bool {
-        self.log.lines.lock().unwrap().iter().any(|line| line.contains(words))
+        self.process.has_logged(words)
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Client { stream: BufReader::new(stream) }
+        Client::connect(self.address, PATIENCE).unwrap()
     }
 
     pub fn kill(mut self) -> Stopped<'a> {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
+        self.process.child.kill().unwrap();
+        self.process.child.wait().unwrap();
         Stopped { world: self.world }
     }
 
@@ -699,23 +494,17 @@
 
     /// Descriptors that the process holds.
     pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+        std::fs::read_dir(format!("/proc/{}/fd", self.process.child.id())).unwrap().count()
     }
 
     /// Memory of the process that is in use, in KiB.
     pub fn memory(&self) -> u64 {
-        self.figure("VmRSS:")
+        self.process.figure("VmRSS").unwrap()
     }
 
     /// The most that it ever had in use.
     pub fn peak_memory(&self) -> u64 {
-        self.figure("VmHWM:")
-    }
-
-    fn figure(&self, name: &str) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
-        line.split_whitespace().next().unwrap().parse().unwrap()
+        self.process.figure("VmHWM").unwrap()
     }
 
     pub fn terminate(&self) {
@@ -727,7 +516,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let signal = format!("kill -{name} {}", self.child.id());
+        let signal = format!("kill -{name} {}", self.process.child.id());
         assert!(Command::new("/bin/sh").args(["-c", &signal]).status().unwrap().success());
     }
 
@@ -735,7 +524,7 @@
     pub fn wait(&mut self, limit: Duration) -> ExitStatus {
         let end = Instant::now() + limit;
         loop {
-            if let Some(status) = self.child.try_wait().unwrap() {
+            if let Some(status) = self.process.child.try_wait().unwrap() {
                 return status;
             }
             assert!(Instant::now() < end, "the process did not end in {limit:?}");
@@ -744,13 +533,6 @@
     }
 }
 
-impl Drop for Courier<'_> {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// The status of the answer that comes on a connection to the door.
 pub fn status(mut stream: TcpStream) -> u16 {
     let mut answer = Vec::new();
@@ -771,20 +553,12 @@
     }
 }
 
-pub struct Client {
-    stream: BufReader<TcpStream>,
-}
-
 impl Client {
     pub fn send(&mut self, bytes: &[u8]) {
         // A courier that has had enough of bad input may close before all of it is written.
         let _ = self.try_send(bytes);
     }
 
-    pub fn try_send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
-        self.stream.get_mut().write_all(bytes)
-    }
-
     /// Ends the sending side.
     pub fn end(&mut self) {
         self.stream.get_mut().shutdown(Shutdown::Write).unwrap();
@@ -797,9 +571,7 @@
     }
 
     pub fn line(&mut self) -> String {
-        let mut line = String::new();
-        self.stream.read_line(&mut line).unwrap();
-        line.trim_end().to_owned()
+        self.try_line().unwrap()
     }
 
     pub fn ask<W: AsRef<[u8]>>(&mut self, words: &[W]) -> String {
@@ -809,13 +581,7 @@
 
     /// Sends a command without waiting for its answer.
     pub fn command<W: AsRef<[u8]>>(&mut self, words: &[W]) {
-        let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
-        for word in words.iter().map(AsRef::as_ref) {
-            bytes.extend(format!("${}\r\n", word.len()).as_bytes());
-            bytes.extend(word);
-            bytes.extend(b"\r\n");
-        }
-        self.send(&bytes);
+        self.send(&command(words));
     }
 
     /// Hands a message in; `class` may carry further fields.
