--- a/src/bin/lab/experiment.rs
+++ b/src/bin/lab/experiment.rs
@@ -37,6 +37,7 @@
     pub seed: u64,
     pub bounds: Bounds,
     pub work: Work,
+    pub discovery: Discovery,
     pub target: Target,
     pub sweep: Vec<Sweep>,
 }
@@ -71,6 +72,16 @@
     pub limit_per_s: Option<f64>,
 }
 
+/// The discovery that couriers watch.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Discovery {
+    /// Entries of its list.
+    pub entries: Spanned<u64>,
+    /// Watches that it can answer a second when all come back at once; it refuses others.
+    pub watches_per_s: Spanned<u64>,
+}
+
 /// The size to build towards, over all couriers.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -263,6 +274,8 @@
     source.within(block_ms, "work.block_ms", 10_000)?;
     source.within(latency_ms, "work.latency_ms", 1_000)?;
     source.within(down_ms, "work.down_ms", 1_000)?;
+    source.within(&experiment.discovery.entries, "discovery.entries", 10_000)?;
+    source.within(&experiment.discovery.watches_per_s, "discovery.watches_per_s", 1_000_000)?;
     for sweep in &experiment.sweep {
         check(&source, sweep, experiment.bounds.memory())?;
     }
--- a/src/bin/lab/hollow.rs
+++ b/src/bin/lab/hollow.rs
@@ -24,6 +24,11 @@
 }
 
 impl Script {
+    /// All calls are answered, after some time.
+    pub fn prompt(latency: Duration) -> Self {
+        Script { latency, down_after: latency, limit: None, allowance: None, down: BTreeSet::new() }
+    }
+
     /// What becomes of a call, and when that is known.
     fn outcome(
         &self,
@@ -78,6 +83,8 @@
     answered: Vec<MessageId>,
     noted: Vec<Outage>,
     actions: Vec<Action>,
+    /// The list is to be watched again.
+    watch_due: bool,
     last_message: u32,
     last_answer: u64,
     pub counts: Counts,
@@ -98,6 +105,7 @@
             answered: Vec::new(),
             noted: Vec::new(),
             actions: Vec::new(),
+            watch_due: false,
             last_message: 0,
             last_answer: 0,
             counts: Counts::default(),
@@ -188,9 +196,9 @@
                     self.answered.push(message);
                 }
                 Action::Wake { after, token } => self.wake = Some((self.now + after, token)),
-                // There are no connections to close, no watch to begin, and no log.
+                Action::KeepInformed { .. } => self.watch_due = true,
+                // There are no connections to close, and no log.
                 Action::CloseIdle { .. }
-                | Action::KeepInformed { .. }
                 | Action::Refresh
                 | Action::Probe { .. }
                 | Action::Tell { .. }
@@ -209,6 +217,29 @@
         }
     }
 
+    /// After how long to watch the list for the first time.
+    pub fn first_watch(&mut self) -> Duration {
+        self.courier.first_watch()
+    }
+
+    /// Whether the module has asked for another watch since this was asked last.
+    pub fn watches_again(&mut self) -> bool {
+        std::mem::take(&mut self.watch_due)
+    }
+
+    /// How long until it has something to do by itself.
+    pub fn wakes_in(&self) -> Option<Duration> {
+        let own = self.wake.map(|(at, _)| at);
+        let next = self.coming.first_key_value().map(|((at, _), _)| *at);
+        [own, next].into_iter().flatten().min().map(|at| at - self.now)
+    }
+
+    /// What it has looked at so far, all steps together.
+    pub fn looked_at(&self) -> u64 {
+        let Work { destinations, messages, calls, routes, endpoints } = self.courier.work();
+        destinations + messages + calls + routes + endpoints
+    }
+
     /// Outages that are being remembered.
     pub fn outages(&self) -> usize {
         self.noted.len()
--- a/src/bin/lab/main.rs
+++ b/src/bin/lab/main.rs
@@ -15,6 +15,7 @@
 // The tests use more of them.
 #[allow(dead_code)]
 mod stand_ins;
+mod watchers;
 
 use clap::{Parser, Subcommand};
 use std::fs::File;
@@ -25,11 +26,15 @@
 use std::sync::Arc;
 use thiserror::Error;
 use tokio::signal::unix::{signal, SignalKind};
+use tracing::level_filters::LevelFilter;
 use tracing::{error, warn};
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
-use crate::bounds::{Guard, NotRun};
+use crate::bounds::Guard;
 use crate::experiment::{ExperimentError, Kind};
-use crate::report::{Point, Report};
+use crate::report::Report;
 
 /// The exit code of a run that a signal ended.
 const INTERRUPTED: u8 = 130;
@@ -121,10 +126,7 @@
     for sweep in &experiment.sweep {
         let points = match sweep.kind() {
             Kind::Journal => restart::sweep(sweep, &courier, &guard),
-            Kind::Watchers | Kind::WatchersReturn => {
-                let why = NotRun::Failed("this sweep is still to be built".into());
-                sweep.sizes.iter().map(|size| Point::not_run(*size.get_ref(), &why)).collect()
-            }
+            Kind::Watchers | Kind::WatchersReturn => watchers::sweep(&experiment, sweep, &guard),
             _ => measure::sweep(&experiment, sweep, &guard),
         };
         println!("{}", report.add(sweep.kind(), points));
@@ -142,7 +144,11 @@
 }
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    // Thousands of watches that break and are begun again say so elsewhere: they are counted.
+    let levels =
+        Targets::new().with_default(LevelFilter::INFO).with_target("cloverstile", LevelFilter::ERROR);
+    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    lines.finish().with(levels).init();
     let Verb::Scale { file, only, json, courier } = Arguments::parse().verb;
     match scale(file, &only, json, courier) {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/bin/lab/measure.rs
+++ b/src/bin/lab/measure.rs
@@ -17,7 +17,7 @@
 const LONGEST_STEP_NS: u64 = 10_000_000_000;
 
 /// Processor time of this thread so far.
-fn processor_time() -> Duration {
+pub fn processor_time() -> Duration {
     let time = clock_gettime(ClockId::ThreadCPUTime);
     Duration::new(time.tv_sec.unsigned_abs(), u32::try_from(time.tv_nsec).unwrap_or_default())
 }
@@ -29,6 +29,7 @@
     memory: u64,
     /// By round: processor time of a step in nanoseconds.
     rounds: Vec<f64>,
+    looked_at: u64,
     steps: Histogram<u64>,
 }
 
@@ -36,7 +37,7 @@
     fn round(&mut self, experiment: &Experiment, guard: &Guard) -> Result<(), NotRun> {
         let (most, longest) = (*experiment.work.steps.get_ref(), experiment.work.block());
         let (begun, cpu) = (Instant::now(), processor_time());
-        let delivered = self.rig.hollow.counts.delivered;
+        let (delivered, looked_at) = (self.rig.hollow.counts.delivered, self.rig.hollow.looked_at());
         let mut steps = 0;
         while steps < most && (steps < LEAST_STEPS || begun.elapsed() < longest) {
             let at = Instant::now();
@@ -45,6 +46,7 @@
             steps += 1;
         }
         self.rounds.push((processor_time() - cpu).as_nanos() as f64 / steps as f64);
+        self.looked_at += self.rig.hollow.looked_at() - looked_at;
         self.rig.check(delivered, steps)?;
         guard.check()
     }
@@ -90,7 +92,7 @@
     rig.settle(experiment.work.latency(), guard)?;
     let memory = allocated().saturating_sub(before);
     info!(kind = %sweep.kind(), size, out = rig.hollow.out(), outages = rig.hollow.outages(), memory, "set up");
-    Ok(Measured { size, rig, memory, rounds: Vec::new(), steps })
+    Ok(Measured { size, rig, memory, rounds: Vec::new(), looked_at: 0, steps })
 }
 
 fn point(measured: &Measured, base: &[f64]) -> Point {
@@ -101,6 +103,7 @@
         (Figure::StepRatio, ratio),
         // By the ratio, as the machine's pace changes from round to round, but hardly within one.
         (Figure::StepNs, ratio * smallest),
+        (Figure::LookedAt, measured.looked_at as f64 / measured.steps.len().max(1) as f64),
         (Figure::StepP99Ns, measured.steps.value_at_quantile(0.99) as f64),
         (Figure::MemoryBytes, measured.memory as f64),
     ]);
--- a/src/bin/lab/report.rs
+++ b/src/bin/lab/report.rs
@@ -15,6 +15,8 @@
     StepRatio,
     StepNs,
     StepP99Ns,
+    /// Destinations, messages, calls, routes and endpoints that the module looked at for a step, by its own count.
+    LookedAt,
     MemoryBytes,
     /// Of the module's memory, on its way to another process.
     HandOverBytes,
@@ -27,6 +29,17 @@
     /// Of the messages that it found, those that it sent on, and until when it had sent all.
     TriedShare,
     TriedMs,
+    /// Until all watch the list for the first time, and until all have a change.
+    FirstWatchMs,
+    AllHaveMs,
+    /// Processor time of all watchers for one change.
+    WatchersNs,
+    /// Bytes that discovery wrote for one change.
+    ToldBytes,
+    /// Of the watchers, those that have a change within the target's time.
+    InForceShare,
+    Connections,
+    Refusals,
 }
 
 impl Figure {
@@ -35,6 +48,7 @@
             Figure::StepRatio => "step, ratio",
             Figure::StepNs => "step, ns of a core",
             Figure::StepP99Ns => "step, p99 ns",
+            Figure::LookedAt => "step, looked at",
             Figure::MemoryBytes => "memory, bytes",
             Figure::HandOverBytes => "hand-over, bytes",
             Figure::ReadyMs => "until +PONG, ms",
@@ -43,12 +57,19 @@
             Figure::JournalBytes => "journal, bytes",
             Figure::TriedShare => "tried, share",
             Figure::TriedMs => "all tried after, ms",
+            Figure::FirstWatchMs => "all watch after, ms",
+            Figure::AllHaveMs => "all have it, ms",
+            Figure::WatchersNs => "watchers, ns of core",
+            Figure::ToldBytes => "told, bytes",
+            Figure::InForceShare => "in force, share",
+            Figure::Connections => "connections",
+            Figure::Refusals => "refusals",
         }
     }
 
     /// Ratios and tails are told, but no line is laid through them.
     fn is_fitted(self) -> bool {
-        !matches!(self, Figure::StepRatio | Figure::StepP99Ns | Figure::TriedShare)
+        !matches!(self, Figure::StepRatio | Figure::StepP99Ns | Figure::TriedShare | Figure::InForceShare)
     }
 
     /// What a courier has for it at the target, if the target says so.
@@ -56,6 +77,9 @@
         match self {
             Figure::StepNs if kind == Kind::ListChange => Some(target.change_ns()),
             Figure::StepNs => Some(target.event_ns()),
+            // Of many couriers at once.
+            Figure::MemoryBytes if matches!(kind, Kind::Watchers | Kind::WatchersReturn) => None,
+            Figure::AllHaveMs => Some(target.in_force_s * 1e3),
             Figure::MemoryBytes | Figure::ProcessBytes => Some(target.control_memory_mb * 1e6),
             Figure::ReadyMs => Some(target.ready_s * 1e3),
             _ => None,
--- a/src/bin/lab/stand_ins.rs
+++ b/src/bin/lab/stand_ins.rs
@@ -133,6 +133,22 @@
     }
 }
 
+impl Agent {
+    /// Tells open watches that nothing has changed.
+    pub fn beat(&self) {
+        for watch in &mut locked(&self.state.watches).open {
+            let _ = watch.write_all(b"1\r\n\n\r\n");
+        }
+    }
+
+    /// Breaks all open watches.
+    pub fn shut(&self) {
+        for watch in locked(&self.state.watches).open.drain(..) {
+            let _ = watch.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Discovery {
     /// What it answers when asked for the whole list.
