--- a/src/bin/lab/report.rs
+++ b/src/bin/lab/report.rs
@@ -72,9 +72,16 @@
         }
     }
 
-    /// Ratios and tails are told, but no line is laid through them.
+    /// Ratios and tails are told, and refusals, which begin at some size; but no line is laid through them.
     fn is_fitted(self) -> bool {
-        !matches!(self, Figure::StepRatio | Figure::StepP99Ns | Figure::TriedShare | Figure::InForceShare)
+        !matches!(
+            self,
+            Figure::StepRatio
+                | Figure::StepP99Ns
+                | Figure::TriedShare
+                | Figure::InForceShare
+                | Figure::Refusals
+        )
     }
 
     /// What a courier has for it at the target, if the target says so.
