--- a/src/bin/lab/experiment.rs
+++ b/src/bin/lab/experiment.rs
@@ -66,8 +66,10 @@
     pub steps: Spanned<u64>,
     /// ... and as long as they take no more than this.
     pub block_ms: Spanned<u64>,
-    /// From a call to its answer.
+    /// From a call to its answer ...
     pub latency_ms: Spanned<u64>,
+    /// ... and up to so much longer, by chance.
+    pub jitter_ms: u64,
     /// From a call to the refusal of a connection by an endpoint that is down.
     pub down_ms: Spanned<u64>,
     /// Calls a second that an endpoint takes from this courier before it answers 503; no limit if absent.
@@ -217,6 +219,10 @@
         Duration::from_millis(*self.latency_ms.get_ref())
     }
 
+    pub fn longest_latency(&self) -> Duration {
+        self.latency() + Duration::from_millis(self.jitter_ms)
+    }
+
     pub fn block(&self) -> Duration {
         Duration::from_millis(*self.block_ms.get_ref())
     }
--- a/src/bin/lab/hollow.rs
+++ b/src/bin/lab/hollow.rs
@@ -11,8 +11,10 @@
 /// What endpoints do with calls.
 #[derive(Clone, Debug)]
 pub struct Script {
-    /// From a call to its answer.
+    /// From a call to its answer ...
     pub latency: Duration,
+    /// ... and up to so much longer, by chance.
+    pub jitter: Duration,
     /// From a call to the refusal of a connection.
     pub down_after: Duration,
     /// Calls a second that one endpoint takes before it answers 503.
@@ -26,7 +28,8 @@
 impl Script {
     /// All calls are answered, after some time.
     pub fn prompt(latency: Duration) -> Self {
-        Script { latency, down_after: latency, limit: None, allowance: None, down: BTreeSet::new() }
+        let jitter = Duration::ZERO;
+        Script { latency, jitter, down_after: latency, limit: None, allowance: None, down: BTreeSet::new() }
     }
 
     /// What becomes of a call, and when that is known.
@@ -34,21 +37,23 @@
         &self,
         now: Time,
         room: &mut HashMap<EndpointId, (f64, Time)>,
+        chance: &mut fastrand::Rng,
         to: EndpointId,
     ) -> (Outcome, Duration) {
         if self.down.contains(&to) {
             return (Outcome::ConnectFailed, self.down_after);
         }
+        let after = self.latency + self.jitter.mul_f64(chance.f64());
         if let Some(limit) = self.limit {
             let (left, since) = room.entry(to).or_insert((1.0, now));
             *left = (*left + (now - *since).as_secs_f64() * limit).min(limit.max(1.0));
             *since = now;
             if *left < 1.0 {
-                return (Outcome::Full(None), self.latency);
+                return (Outcome::Full(None), after);
             }
             *left -= 1.0;
         }
-        (Outcome::Ok, self.latency)
+        (Outcome::Ok, after)
     }
 }
 
@@ -72,6 +77,7 @@
 pub struct Hollow {
     courier: Courier,
     script: Script,
+    chance: fastrand::Rng,
     deadline: Duration,
     now: Time,
     wake: Option<(Time, u64)>,
@@ -96,6 +102,7 @@
         Hollow {
             courier: Courier::new(Settings { answers_take_time: true, ..settings }, seed),
             script,
+            chance: fastrand::Rng::with_seed(seed),
             deadline,
             now: EPOCH,
             wake: None,
@@ -176,7 +183,8 @@
                 Action::Route { message, endpoint, .. } => {
                     self.counts.sent += 1;
                     *self.attempts.entry(message).or_default() += 1;
-                    let (outcome, after) = self.script.outcome(self.now, &mut self.room, endpoint);
+                    let (outcome, after) =
+                        self.script.outcome(self.now, &mut self.room, &mut self.chance, endpoint);
                     self.last_answer += 1;
                     let coming = Coming { message, endpoint, outcome, sent: self.now };
                     self.coming.insert((self.now + after, self.last_answer), coming);
--- a/src/bin/lab/module.rs
+++ b/src/bin/lab/module.rs
@@ -198,6 +198,7 @@
         let slots = if kind == Kind::CallsOut { 2 * size as usize } else { 0 } + SPARE_SLOTS;
         let script = Script {
             latency: work.latency(),
+            jitter: Duration::from_millis(work.jitter_ms),
             down_after: Duration::from_millis(*work.down_ms.get_ref()),
             limit: work.limit_per_s,
             // Nothing is left of the limit, so that the pace does not grow.
--- a/tests/lab.rs
+++ b/tests/lab.rs
@@ -257,6 +257,43 @@
     assert_eq!(kinds, ["endpoints", "calls-out"]);
 }
 
+/// Figures of one sweep that no clock has part in.
+fn counted(seed: u32) -> Vec<(u64, f64, f64)> {
+    let place = Place::new();
+    let experiment = SMALL
+        .replace("seed = 19", &format!("seed = {seed}"))
+        .replace("jitter_ms = 0", "jitter_ms = 20")
+        .replace("block_ms = 30", "block_ms = 10000");
+    let output = place.run(&experiment, Path::new(COURIER), &["--only", "calls-out"]);
+    assert!(output.status.success());
+    let report = place.json();
+    let points = report["sweeps"][0]["points"].as_array().unwrap().iter();
+    let figure = |point: &Value, name: &str| point["figures"][name].as_f64().unwrap();
+    points
+        .map(|point| {
+            (point["size"].as_u64().unwrap(), figure(point, "looked_at"), figure(point, "hand_over_bytes"))
+        })
+        .collect()
+}
+
+#[test]
+fn chance_comes_from_the_seed_alone() {
+    assert_eq!(counted(5), counted(5));
+    assert_ne!(counted(5), counted(6));
+}
+
+/// A courier whose endpoints refuse is not measured as if it had done the work.
+#[test]
+fn work_that_was_not_done_is_said_so() {
+    let place = Place::new();
+    let refusing = SMALL.replace("latency_ms = 40", "limit_per_s = 0.001\nlatency_ms = 40");
+    let output = place.run(&refusing, Path::new(COURIER), &["--only", "endpoints"]);
+    assert!(output.status.success());
+    let smallest = &place.json()["sweeps"][0]["points"][0];
+    let why = smallest["not_run"].as_str().unwrap_or_else(|| panic!("{smallest}"));
+    assert!(why.starts_with("the work was not done: "), "{why}");
+}
+
 /// What the time of the run did not allow is recorded as not run, with the reason, and has no figures.
 #[test]
 fn what_was_not_run_is_said_so() {
