Count what a step looks at, and compare outages as their changes tell them

Cause: nothing held the bound that work goes by what has changed; outages told by their changes were not compared. Change: tests/steps.rs counts looks with 65,536 endpoints, 2,000 destinations on told waits and 10,000 messages held, with calls out, with outages that do not change, and with a change of one entry.

--- a/tests/same_decisions.rs
+++ b/tests/same_decisions.rs
@@ -476,6 +476,8 @@
     moods: BTreeMap<u32, Mood>,
     detached: BTreeSet<u32>,
     told_waits: BTreeSet<Time>,
+    /// Outages by what the product told of their changes, as a journal keeps them.
+    outages: BTreeMap<(DestinationId, Option<EndpointId>), Outage>,
     watch_answer: Option<Time>,
     last_message: u32,
     last_endpoint: u32,
@@ -499,6 +501,7 @@
             moods: BTreeMap::new(),
             detached: BTreeSet::new(),
             told_waits: BTreeSet::new(),
+            outages: BTreeMap::new(),
             watch_answer: None,
             last_message: 0,
             last_endpoint: 0,
@@ -584,20 +587,33 @@
         before
     }
 
-    /// Outages as both tell them; the reference's are returned.
-    fn compare_outages(&self) -> Result<Vec<Outage>, TestCaseError> {
+    /// Outages as both tell them, all and by their changes; the reference's are returned.
+    fn compare_outages(&mut self) -> Result<Vec<Outage>, TestCaseError> {
         let sorted = |mut outages: Vec<Outage>| {
             outages.sort_by_key(|outage| (outage.destination, outage.endpoint));
             outages
         };
+        let same = |product: &[Outage], reference: &[Outage]| {
+            product.len() == reference.len()
+                && product.iter().zip(reference).all(|(one, other)| same_outage(one, other))
+        };
         let product = sorted(self.both.product.outages().collect());
         let reference = sorted(self.both.reference.outages().collect());
-        let same = product.len() == reference.len()
-            && product.iter().zip(&reference).all(|(one, other)| same_outage(one, other));
-        if same {
+        if !same(&product, &reference) {
+            return Err(self.differ("outages", &product, &reference));
+        }
+        for changed in self.both.product.changed_outages() {
+            let of = (changed.destination, changed.endpoint);
+            match changed.outage {
+                Some(outage) => self.outages.insert(of, outage),
+                None => self.outages.remove(&of),
+            };
+        }
+        let kept: Vec<Outage> = self.outages.values().copied().collect();
+        if same(&kept, &reference) {
             Ok(reference)
         } else {
-            Err(self.differ("outages", &product, &reference))
+            Err(self.differ("outages by their changes", &kept, &reference))
         }
     }
 
@@ -1054,6 +1070,7 @@
         }
         self.starts += 1;
         self.both = Both::new(&self.settings, self.world.seed ^ self.starts);
+        self.outages.clear();
         (self.wakes, self.watch_answer) = ([None; 2], None);
         let product = self.both.product.first_watch();
         let reference = self.both.reference.first_watch();
--- /dev/null
+++ b/tests/steps.rs
@@ -0,0 +1,262 @@
+//! A step costs in proportion to what has changed, not to what exists: what it looks at is counted, no clock is read.
+
+use cloverstile::*;
+use std::time::Duration;
+
+const LARGE: usize = 65_536;
+const SMALL: usize = 64;
+/// Destinations with endpoints; the endpoints are spread over them evenly.
+const DESTINATIONS: usize = 16_384;
+const WAITING: usize = 2_000;
+const HELD: usize = 10_000;
+/// Messages that are passed on while looks are counted.
+const ROUNDS: usize = 50;
+/// Far longer than all that is played here: nothing runs out, stalls or comes back meanwhile.
+const LONG: Duration = Duration::from_secs(24 * 3600);
+
+/// A courier, its clock, and the number of the last message.
+struct Site {
+    courier: Courier,
+    settings: Settings,
+    now: Time,
+    last: u32,
+}
+
+fn settings() -> Settings {
+    let class = Class { aim: LONG / 4, deadline: LONG, repeat_window: LONG, ..Class::default() };
+    Settings {
+        classes: vec![class],
+        couriers: 1,
+        call_slots: 1_000,
+        most_held: 4 * HELD,
+        ..Settings::default()
+    }
+}
+
+fn destination(number: usize) -> DestinationId {
+    DestinationId(number.try_into().expect("a destination's number"))
+}
+
+fn endpoint(number: usize) -> Endpoint {
+    Endpoint {
+        id: EndpointId(number as u32),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        destination: destination(number % DESTINATIONS),
+        mode: Mode::Ready,
+        weight: 1e6,
+    }
+}
+
+impl Site {
+    fn new(endpoints: usize) -> Site {
+        let settings = settings();
+        let now = Time::ZERO + Duration::from_secs(100);
+        let mut site = Site { courier: Courier::new(settings.clone(), 7), settings, now, last: 0 };
+        site.tell(Event::Listed(Listing::Whole((0..endpoints).map(endpoint).collect())));
+        site.step();
+        site.courier.changed_outages();
+        site
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.courier.handle(self.now, event);
+    }
+
+    fn accept(&mut self, to: usize) {
+        self.last += 1;
+        let deadline = self.now + self.settings.classes[0].deadline;
+        self.tell(Event::Accept(Accepted {
+            id: MessageId(self.last),
+            class: ClassId(0),
+            destination: destination(to),
+            key: None,
+            deadline,
+            from_dead_courier: false,
+            tenant: TenantId(0),
+        }));
+    }
+
+    /// A moment later the courier decides; what it sends is returned.
+    fn step(&mut self) -> Vec<(MessageId, EndpointId)> {
+        self.now = self.now + Duration::from_millis(1);
+        let mut actions = Vec::new();
+        self.courier.decide(self.now, &mut actions);
+        let routed = |action: &Action| match action {
+            Action::Route { message, endpoint, .. } => Some((*message, *endpoint)),
+            _ => None,
+        };
+        actions.iter().filter_map(routed).collect()
+    }
+
+    fn finish(&mut self, (message, endpoint): (MessageId, EndpointId), outcome: Outcome) {
+        self.tell(Event::Finished(Finished {
+            message,
+            endpoint,
+            attempt: 0,
+            outcome,
+            latency: Duration::from_millis(1),
+            complete: outcome == Outcome::Ok,
+            allowance: None,
+        }));
+    }
+
+    /// The last destinations of the list wait on told waits, with messages held for them.
+    fn keep_waiting(&mut self, destinations: usize, messages: usize) {
+        let told = DESTINATIONS - destinations..DESTINATIONS;
+        for to in told.clone() {
+            self.tell(Event::ToldWait { endpoint: EndpointId(to as u32), wait: LONG });
+        }
+        told.cycle().take(messages).for_each(|to| self.accept(to));
+        assert_eq!(self.step(), [], "told to wait");
+    }
+
+    /// Leaves so many calls out, spread over so many destinations from the fortieth on.
+    fn leave_out(&mut self, calls: usize, destinations: usize) {
+        (0..calls).for_each(|call| self.accept(40 + call % destinations));
+        assert_eq!(self.step().len(), calls);
+    }
+
+    /// What is looked at while messages for a few destinations are taken, sent and ended, one after the other.
+    fn looks(&mut self) -> Work {
+        let before = self.courier.work();
+        for round in 0..ROUNDS {
+            self.accept(round % 32);
+            let sent = self.step();
+            assert_eq!(sent.len(), 1, "what can go goes, and it alone");
+            self.finish(sent[0], Outcome::Ok);
+            assert_eq!(self.step(), []);
+            self.courier.changed_outages();
+        }
+        since(before, self.courier.work())
+    }
+}
+
+fn since(before: Work, after: Work) -> Work {
+    Work {
+        destinations: after.destinations - before.destinations,
+        messages: after.messages - before.messages,
+        calls: after.calls - before.calls,
+        routes: after.routes - before.routes,
+        endpoints: after.endpoints - before.endpoints,
+    }
+}
+
+fn all(work: Work) -> u64 {
+    work.destinations + work.messages + work.calls + work.routes + work.endpoints
+}
+
+/// Not only the sum: nor may one kind of looks grow behind the others.
+fn assert_at_most(times: u64, of: Work, seen: Work) {
+    assert!(all(of) > 0, "it counts");
+    let kinds = |w: Work| [all(w), w.destinations, w.messages, w.calls, w.routes, w.endpoints];
+    let in_bounds = kinds(of).into_iter().zip(kinds(seen)).all(|(of, seen)| seen <= times * of);
+    assert!(in_bounds, "at most {times} times {of:?}, not {seen:?}");
+}
+
+#[test]
+fn a_step_does_not_look_at_who_waits_nor_through_the_list() {
+    let few = Site::new(SMALL).looks();
+    let mut large = Site::new(LARGE);
+    large.keep_waiting(WAITING, HELD);
+    assert_at_most(3, few, large.looks());
+}
+
+/// Each destination that waits has its own time, and some are due at each step: only these are looked at.
+#[test]
+fn only_the_waits_that_end_are_looked_at() {
+    let mut site = Site::new(LARGE);
+    let told = DESTINATIONS - WAITING..DESTINATIONS;
+    for (place, to) in told.clone().enumerate() {
+        let wait = Duration::from_millis(10 * (place as u64 + 1));
+        site.tell(Event::ToldWait { endpoint: EndpointId(to as u32), wait });
+        site.accept(to);
+    }
+    assert_eq!(site.step(), []);
+    let before = site.courier.work();
+    let mut sent = Vec::new();
+    for _ in 0..ROUNDS {
+        for _ in 0..10 {
+            sent.extend(site.step());
+        }
+    }
+    assert_eq!(sent.len(), ROUNDS, "all that came due went");
+    let looks = since(before, site.courier.work());
+    assert!(looks.destinations <= 4 * ROUNDS as u64 && looks.messages <= 4 * ROUNDS as u64, "{looks:?}");
+}
+
+#[test]
+fn calls_out_are_not_looked_through() {
+    for (few, many) in [((20, 20), (90, 90)), ((20, 2), (90, 9)), ((20, 2), (90, 2))] {
+        let mut small = Site::new(SMALL);
+        small.leave_out(few.0, few.1);
+        let mut large = Site::new(LARGE);
+        large.leave_out(many.0, many.1);
+        assert_at_most(2, small.looks(), large.looks());
+    }
+}
+
+/// Calls to a destination end in another order than they were sent; those that are left are not gone through anew.
+#[test]
+fn calls_that_end_are_not_looked_for_among_the_others() {
+    let looks = |calls: usize| {
+        let mut site = Site::new(SMALL);
+        (0..calls).for_each(|_| site.accept(40));
+        let sent = site.step();
+        assert_eq!(sent.len(), calls);
+        let before = site.courier.work();
+        for call in sent.into_iter().rev().take(10) {
+            site.finish(call, Outcome::Ok);
+            assert_eq!(site.step(), []);
+        }
+        since(before, site.courier.work())
+    };
+    assert_at_most(2, looks(20), looks(90));
+}
+
+#[test]
+fn no_route_is_looked_at_for_outages_where_none_changed() {
+    let mut site = Site::new(LARGE);
+    for to in DESTINATIONS - WAITING..DESTINATIONS {
+        site.tell(Event::Recalled(Outage {
+            destination: destination(to),
+            endpoint: None,
+            since: site.now,
+            evidence: 6,
+            lost: Some(true),
+            returned: None,
+            share: 0.0,
+        }));
+    }
+    assert_eq!(site.step(), []);
+    assert_eq!(site.courier.changed_outages().len(), WAITING, "all are told once");
+    assert_eq!(site.looks().routes, 0);
+    assert_eq!(site.courier.changed_outages(), []);
+    // One that comes is told alone.
+    site.accept(5);
+    let sent = site.step();
+    site.finish(sent[0], Outcome::ConnectFailed);
+    site.step();
+    let before = site.courier.work();
+    let changed = site.courier.changed_outages();
+    assert_eq!(changed.len(), 1);
+    assert_eq!((changed[0].destination, changed[0].endpoint), (destination(5), None));
+    assert!(changed[0].outage.is_some_and(|outage| outage.lost == Some(true)));
+    assert_eq!(since(before, site.courier.work()).routes, 1);
+}
+
+#[test]
+fn a_change_of_one_entry_does_not_look_through_the_list() {
+    let looks = |endpoints: usize| {
+        let mut site = Site::new(endpoints);
+        let before = site.courier.work();
+        for mode in [Mode::Draining, Mode::Ready, Mode::Gone, Mode::Ready] {
+            site.tell(Event::Listed(Listing::Changes(vec![Endpoint { mode, ..endpoint(3) }])));
+            assert_eq!(site.step(), []);
+        }
+        since(before, site.courier.work()).endpoints
+    };
+    let few = looks(SMALL);
+    assert!((4..=16).contains(&few), "each entry once or a few times: {few}");
+    assert_eq!(looks(LARGE), few);
+}
