--- a/src/choice.rs
+++ b/src/choice.rs
@@ -807,8 +807,8 @@
             let left = (1.0 - route.tokens) / rate;
             let gap = left.clamp(TOKEN_GAPS.0, TOKEN_GAPS.1);
             let due = now + Duration::from_secs_f64(gap);
-            // What is nearer or further than a gap may be is looked at at each step.
-            look.always |= gap != left;
+            // What is nearer than a gap may be is looked at at each step.
+            look.always |= left < gap;
             earliest(&mut look.change, Some(due - Duration::from_secs_f64(TOKEN_GAPS.0)));
             return Some(due);
         }
