Look again within 10 s in a slow start, and when a window ends before its message may go

A token's timer had become as long as the pace of the moment said, up to an hour; in a slow start the pace grows, and a courier that nothing else happens to gave a message up at its deadline, 20 s on, that the former 10 s would have let go. And a parked timer outlived a message whose window ends before its key's rest: one early tick with nothing to do.

In a slow start a token is waited for at most 10 s at a time; the end of a window is a reason to look.

Test. a_slow_start_is_looked_at_again_while_nothing_happens fails without it ("Busy .. after 20s").

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -86,6 +86,8 @@
 const BURST_S: f64 = 0.4;
 /// A token is waited for at least and at most so many seconds at a time.
 const TOKEN_GAPS: (f64, f64) = (0.001, 3600.0);
+/// ... and at most so many in a slow start, whose pace grows meanwhile.
+const RAMP_GAP: f64 = 10.0;
 /// Part of a tenant's quota assumed to be this courier's, in even parts; traffic is not even.
 const QUOTA_PART: f64 = 1.25;
 /// Weight of what waiting for one more aim would lose, against the worth itself.
@@ -385,12 +387,6 @@
         self.messages.insert(message.taken.id, message);
     }
 
-    fn note_demand(&mut self, now: Time, to: DestinationId) {
-        for (_, route) in self.routes.range_mut(routes_of(to)) {
-            route.demand.rate(now, cold_s(&self.settings), 1.0);
-        }
-    }
-
     fn new_message(&self, now: Time, taken: Accepted, over_share: bool) -> Option<Message> {
         let class = self.settings.classes.get(usize::from(taken.class.0))?;
         let born = taken.deadline - class.deadline;
@@ -805,7 +801,8 @@
         route.bound = route.tokens < 1.0;
         if route.bound {
             let left = (1.0 - route.tokens) / rate;
-            let gap = left.clamp(TOKEN_GAPS.0, TOKEN_GAPS.1);
+            let longest = if route.returned.is_some() { RAMP_GAP } else { TOKEN_GAPS.1 };
+            let gap = left.clamp(TOKEN_GAPS.0, longest);
             let due = now + Duration::from_secs_f64(gap);
             // What is nearer than a gap may be is looked at at each step.
             look.always |= left < gap;
@@ -859,10 +856,6 @@
         self.last_round = now;
     }
 
-    fn calls_to(&self, destination: DestinationId) -> usize {
-        self.routes.range(routes_of(destination)).map(|(_, route)| route.out.len()).sum()
-    }
-
     /// The best message of a destination that may be sent now, by which route and endpoint, and its worth for
     /// the time that a slot is taken; if none, `look` tells when that may be.
     fn candidate(&mut self, now: Time, to: DestinationId, look: &mut Look) -> Option<Candidate> {
@@ -929,6 +922,9 @@
             let at = self.sendable_at(now, message);
             if at.is_none_or(|at| at > now) {
                 earliest(&mut look.wake, at);
+                // When its window ends first, nothing is to be done at that time any more.
+                let over = self.last_send(message).map(|end| end + Duration::from_nanos(1));
+                earliest(&mut look.change, over.filter(|_| at.is_some()));
                 continue;
             }
             let last_try = message.taken.deadline - self.class(message).aim.mul_f64(UNSAFE_LAST_AIM);
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -171,4 +171,14 @@
             next.map(|m| m.taken.destination).into_iter().for_each(|to| self.touch(to));
         }
     }
+
+    pub(super) fn note_demand(&mut self, now: Time, to: DestinationId) {
+        for (_, route) in self.routes.range_mut(routes_of(to)) {
+            route.demand.rate(now, cold_s(&self.settings), 1.0);
+        }
+    }
+
+    pub(super) fn calls_to(&self, destination: DestinationId) -> usize {
+        self.routes.range(routes_of(destination)).map(|(_, route)| route.out.len()).sum()
+    }
 }
--- a/tests/reference/choice.rs
+++ b/tests/reference/choice.rs
@@ -822,7 +822,8 @@
         route.bound = route.tokens < 1.0;
         if route.bound {
             reached("no token");
-            return Some(now + Duration::from_secs_f64(((1.0 - route.tokens) / rate).clamp(0.001, 3600.0)));
+            let longest = if route.returned.is_some() { 10.0 } else { 3600.0 };
+            return Some(now + Duration::from_secs_f64(((1.0 - route.tokens) / rate).clamp(0.001, longest)));
         }
         Some(now)
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -920,3 +920,35 @@
     bench.finish(21, 8, Outcome::Ok, ms(20));
     assert!(!closes(&bench.decide(), 8), "not for good");
 }
+
+/// In a slow start the pace grows: a courier that nothing happens to looks again while its message still has time,
+/// and not when the pace of the first moment would have let it go.
+#[test]
+fn a_slow_start_is_looked_at_again_while_nothing_happens() {
+    let settings = Settings { couriers: 300, ..settings(vec![safe()]) };
+    let mut bench = Bench::new(settings, vec![Endpoint { weight: 40.0, ..endpoint(11, 3) }]);
+    let begun = bench.now;
+    bench.tell(Event::Recalled(Outage {
+        destination: DestinationId(3),
+        endpoint: None,
+        since: begun,
+        evidence: 0,
+        lost: None,
+        returned: Some(begun),
+        share: 0.0,
+    }));
+    bench.accept(1, 0, 3, None);
+    loop {
+        let mut wake = None;
+        for action in bench.decide() {
+            match action {
+                Action::Route { .. } => return,
+                Action::Wake { after, token } => wake = Some((after, token)),
+                other => panic!("{other:?} after {:?}", bench.now - begun),
+            }
+        }
+        let (after, token) = wake.expect("asked for a timer");
+        bench.now = bench.now + after;
+        bench.tell(Event::TickDue(token));
+    }
+}
