--- a/src/bin/lab/hollow.rs
+++ b/src/bin/lab/hollow.rs
@@ -1,6 +1,7 @@
 //! A hollow courier: the real decision module, stepped on a clock of its own as the real courier's loop steps
 //! it, with answers from a script in the place of sockets. It opens none and reads no clock.
 
+use cloverstile::list::Directory;
 use cloverstile::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -8,6 +9,19 @@
 /// The module's clock at the start. Times before it have to be expressible.
 const EPOCH: Time = Time(1_000_000_000_000_000);
 
+/// The reader of the list, for the one kind and the one zone of the experiments.
+pub fn reader(settings: &Settings) -> Directory {
+    Directory::new(&Parsed {
+        settings: settings.clone(),
+        left_at: None,
+        limit_at: None,
+        class_names: Vec::new(),
+        tenant_names: Vec::new(),
+        kind_names: vec!["banks".into()],
+        zone_names: vec!["kingston".into()],
+    })
+}
+
 /// What endpoints do with calls.
 #[derive(Clone, Debug)]
 pub struct Script {
--- a/src/bin/lab/module.rs
+++ b/src/bin/lab/module.rs
@@ -6,7 +6,7 @@
 
 use crate::bounds::{Guard, NotRun};
 use crate::experiment::{Experiment, Kind};
-use crate::hollow::{Hollow, Script};
+use crate::hollow::{reader, Hollow, Script};
 use crate::measure::processor_time;
 use crate::report::{Figure, Figures};
 use cloverstile::list::{Directory, Target, Update};
@@ -87,16 +87,7 @@
                 changes.push(serde_json::to_vec(&update).map_err(failed)?);
             }
         }
-        let parsed = Parsed {
-            settings: settings.clone(),
-            left_at: None,
-            limit_at: None,
-            class_names: Vec::new(),
-            tenant_names: Vec::new(),
-            kind_names: vec!["banks".into()],
-            zone_names: vec!["kingston".into()],
-        };
-        let mut directory = Directory::new(&parsed);
+        let mut directory = reader(settings);
         let begun = processor_time();
         let update: Update = serde_json::from_slice(&whole).map_err(failed)?;
         let listing = directory.apply(&update);
--- a/src/bin/lab/watchers.rs
+++ b/src/bin/lab/watchers.rs
@@ -5,7 +5,7 @@
 use crate::bounds::{allocated, Guard, NotRun};
 use crate::experiment::{Experiment, Kind, Sweep};
 use crate::fit::median;
-use crate::hollow::{Hollow, Script};
+use crate::hollow::{reader, Hollow, Script};
 use crate::measure::processor_time;
 use crate::report::{Figure, Figures, Point};
 use crate::stand_ins::{locked, target, Agent, Capacity};
@@ -168,16 +168,7 @@
         for number in 0..size {
             let script = Script::prompt(experiment.work.latency());
             let mut hollow = Hollow::new(settings.clone(), experiment.seed + number, script);
-            let parsed = Parsed {
-                settings: settings.clone(),
-                left_at: None,
-                limit_at: None,
-                class_names: Vec::new(),
-                tenant_names: Vec::new(),
-                kind_names: vec!["banks".into()],
-                zone_names: vec!["kingston".into()],
-            };
-            let mut directory = Directory::new(&parsed);
+            let mut directory = reader(&settings);
             hollow.tell(Event::Listed(directory.apply(&known)));
             let watcher = Watcher { hollow, directory, begun: Instant::now(), passed: Duration::ZERO };
             watchers.push(tokio::task::spawn_local(watcher.run(addresses.clone(), 1, hear.clone())));
