Count the queues' form as part of the memory that a hand-over passes on

Seen on reading: a queue is handed over since, and its form stands in queue.rs, which was not among the texts by which two processes tell whether they share a memory. A build with another queue.rs alone would have been taken for the same one. tests/handover.rs passes (12); no test holds it, as it takes two builds.

--- a/src/bin/gullcart/handover.rs
+++ b/src/bin/gullcart/handover.rs
@@ -31,8 +31,12 @@
 /// To be raised with every change to what goes over the socket.
 const FORMAT: u32 = 1;
 /// What the module's memory looks like is said by these; it is passed on only to a process built from the same.
-const MEMORY: [&str; 3] =
-    [include_str!("../../choice.rs"), include_str!("../../books.rs"), include_str!("../../interface.rs")];
+const MEMORY: [&str; 4] = [
+    include_str!("../../choice.rs"),
+    include_str!("../../books.rs"),
+    include_str!("../../queue.rs"),
+    include_str!("../../interface.rs"),
+];
 /// The other process is on this machine: what it does not say in this time it will not say.
 const ANSWER: Duration = Duration::from_secs(1);
 /// Calls may take so long to end before a hand-over to a process that cannot go on with them; its yes is due
