--- a/src/bin/lab/stand_ins.rs
+++ b/src/bin/lab/stand_ins.rs
@@ -4,7 +4,7 @@
 use serde_json::{json, Value};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Sender};
@@ -315,7 +315,13 @@
 impl Process {
     /// Starts a courier on the configuration, the state and the temporary files of a folder.
     pub fn start(binary: &Path, folder: &Path) -> io::Result<Self> {
+        Process::start_with(binary, folder, &[])
+    }
+
+    /// Starts it with further variables in its environment.
+    pub fn start_with(binary: &Path, folder: &Path, variables: &[(&str, PathBuf)]) -> io::Result<Self> {
         let mut child = Command::new(binary)
+            .envs(variables.iter().map(|(name, value)| (name, value)))
             .env("BALANCER_STATE", folder.join("state"))
             .env("TMPDIR", folder.join("tmp"))
             .env("BALANCER_CONFIG", folder.join("config.json"))
--- a/tests/journals.rs
+++ b/tests/journals.rs
@@ -5,8 +5,9 @@
 mod journal;
 mod world;
 
+use bytes::Bytes;
 use cloverstile::list::{Target, Update};
-use journal::{Journal, OutageChange, OutageKey, OutageNote};
+use journal::{Journal, OutageChange, OutageKey, OutageNote, Taken};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use world::*;
@@ -405,3 +406,35 @@
     send(&courier, "again", MANY - 3).answer("200 OK", "");
     assert!(!courier.has_logged("cannot be written"));
 }
+
+/// An attempt without an outcome in the journal may have run, also if another one was begun after it: the window for
+/// repeats counts from the first.
+#[test]
+fn an_attempt_whose_outcome_is_missing_may_have_run() {
+    let folder = std::env::temp_dir().join(format!("gullcart-journal-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (first, second) = ((1_000, 1), (2_000, 2));
+    let mut journal = Journal::open(&folder, 1 << 20).unwrap();
+    let number = journal.take(taken("m1")).unwrap();
+    journal.start(number, first).unwrap();
+    journal.start(number, second).unwrap();
+    journal.outcome(number, false).unwrap();
+    let journal = Journal::open(&folder, 1 << 20).unwrap();
+    let held = &journal.image.held[&number];
+    assert_eq!((held.attempts, held.maybe_ran, held.out), (2, Some(first), None));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+fn taken(id: &str) -> Taken {
+    Taken {
+        id: id.to_owned(),
+        key: 0,
+        class: "notice".to_owned(),
+        destination: 1,
+        idempotency_key: None,
+        deadline_ms: 0,
+        again: false,
+        body: Bytes::new(),
+        tenant: String::new(),
+    }
+}
--- /dev/null
+++ b/tests/machine_disk.rs
@@ -0,0 +1,79 @@
+//! A folder that lasts and cannot be written for a while: what was taken on is still owed, once, and inside all rules.
+//! The faults come from the shim (`fault-shim/`).
+
+mod world;
+
+use libc::{EIO, ENOSPC};
+use world::*;
+
+/// A disk that has no room, or breaks.
+const DISK: [i32; 2] = [ENOSPC, EIO];
+
+fn failed(id: &str) -> String {
+    format!(r#"{{"id":"{id}","state":"failed"}}"#)
+}
+
+/// A final answer is told only once no restart can forget it: what was given back may come again elsewhere.
+#[test]
+fn a_verdict_that_cannot_be_written_is_not_told_before_it_can() {
+    let world = World::faulty(1, 1);
+    let courier = world.start();
+    assert_eq!(courier.client().enqueue("v1", "0", "notice,k=aa", 1, b"x"), "+OK");
+    let call = world.call();
+    world.fail(SystemCall::StateWrite, Fault::always(&DISK));
+    // Never run, and no attempt left: it is given back.
+    call.answer("504 Gateway Timeout", "");
+    world.nothing();
+    world.faults().clear(SystemCall::StateWrite).unwrap();
+    assert!(world.notice().contains(r#""id":"v1","state":"returned""#));
+    let _courier = courier.kill_and_restart();
+    // Told once more at most, and never sent.
+    world.no_call();
+}
+
+/// A change of the list that could not be written is not lost behind the next one that can.
+#[test]
+fn a_list_that_could_not_be_written_is_written_later() {
+    let world = World::faulty(2, 1);
+    let courier = world.start();
+    world.fail(SystemCall::StateWrite, Fault::always(&DISK));
+    world.remove(0);
+    courier.log_until("the list has changed");
+    world.faults().clear(SystemCall::StateWrite).unwrap();
+    world.serve_again(1, 3);
+    courier.log_times("the list has changed", 2);
+    let stopped = courier.kill();
+    // Nobody tells the next process.
+    world.silence_discovery(true);
+    let courier = stopped.restart();
+    let mut client = courier.client();
+    for number in 0..6 {
+        assert_eq!(client.enqueue(&format!("l{number}"), "0", "notice,k=aa", 1, b"x"), "+OK");
+        let call = world.call();
+        assert_eq!(call.endpoint, 1);
+        call.answer("200 OK", "");
+    }
+}
+
+/// A record that is half written when the disk fails is no part of the journal, and what comes after it is.
+#[test]
+fn a_torn_record_takes_nothing_with_it() {
+    let world = World::faulty(1, 1);
+    let courier = world.start();
+    let mut client = courier.client();
+    assert_eq!(client.enqueue("t1", "0", "salary", 1, b"x"), "+OK");
+    let call = world.call();
+    for round in 0..4 {
+        world.fail(SystemCall::StateWrite, Fault::always(&[SystemCall::TORN]).times(1));
+        let id = format!("torn{round}");
+        assert!(client.enqueue(&id, "0", "salary", 1, &[b'y'; 300]).starts_with("-BUSY"));
+    }
+    assert_eq!(client.enqueue("t2", "0", "salary", 1, b"x"), "+OK");
+    assert_eq!(world.call().id, "t2");
+    drop(call);
+    let _courier = courier.kill_and_restart();
+    let mut told = [world.notice(), world.notice()];
+    told.sort();
+    assert_eq!(told, [failed("t1"), failed("t2")]);
+    world.nothing();
+}
