--- /dev/null
+++ b/src/bin/gullcart/journal/record.rs
@@ -0,0 +1,258 @@
+//! What the journal's records say, and the image that they add up to. It reads and writes no file.
+
+use bytes::Bytes;
+use cloverstile::list::{Target, Update};
+use cloverstile::Outage;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A message as it was taken on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Taken {
+    pub id: String,
+    /// Zero in classes without order.
+    pub key: u64,
+    /// By name: its place in the settings may differ after a restart.
+    pub class: String,
+    pub destination: u32,
+    pub idempotency_key: Option<String>,
+    /// Wall time, Unix milliseconds, as are all times here.
+    pub deadline_ms: u64,
+    pub again: bool,
+    pub body: Bytes,
+    /// By name; empty where none was told. In a record of its own, as older journals have none.
+    #[serde(skip)]
+    pub tenant: String,
+}
+
+/// How a message ends that was not delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    Failed,
+    Returned { after_ms: u64 },
+}
+
+/// When an attempt was sent, and to which zone.
+pub type Sent = (u64, u8);
+
+/// A message that the courier still owes its end.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Held {
+    pub taken: Taken,
+    pub attempts: u32,
+    /// The first attempt that may have run.
+    pub maybe_ran: Option<Sent>,
+    /// The attempt that has no outcome yet: after a restart it may have run.
+    pub out: Option<Sent>,
+    pub verdict: Option<Verdict>,
+}
+
+/// An [`Outage`] in terms that mean the same to the next process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OutageNote {
+    pub destination: u32,
+    pub uid: Option<String>,
+    pub since_ms: u64,
+    pub evidence: u32,
+    pub lost: Option<bool>,
+    pub returned_ms: Option<u64>,
+    pub share: f64,
+}
+
+/// What an outage is of: a destination, or the endpoint of this uid where endpoints are separate routes.
+pub type OutageKey = (u32, Option<String>);
+
+/// What has changed of the outages that are remembered.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum OutageChange {
+    /// In the place of what was noted of it before.
+    Noted(OutageNote),
+    Over(OutageKey),
+}
+
+impl OutageNote {
+    pub fn key(&self) -> OutageKey {
+        (self.destination, self.uid.clone())
+    }
+
+    /// From the module's figures; `wall` turns its times into wall time, `uid` names its endpoint.
+    pub fn new(outage: &Outage, uid: Option<String>, wall: impl Fn(cloverstile::Time) -> u64) -> Self {
+        OutageNote {
+            destination: outage.destination.0,
+            uid,
+            since_ms: wall(outage.since),
+            evidence: outage.evidence,
+            lost: outage.lost,
+            returned_ms: outage.returned.map(wall),
+            share: outage.share,
+        }
+    }
+}
+
+/// One change of the image.
+#[derive(Serialize, Deserialize)]
+pub enum Record {
+    Take(u32, Taken),
+    Start(u32, Sent),
+    /// The outcome of the attempt that was out; whether it may have run.
+    Outcome(u32, bool),
+    Owe(u32, Verdict),
+    Over(u32),
+    /// A message with all that is known of it; compaction writes these.
+    Whole(u32, Held),
+    /// The list of endpoints as it was told, or what has changed of it.
+    Targets(Update),
+    /// All outages that are remembered now. Older builds wrote them whole at each change.
+    Outages(Vec<OutageNote>),
+    /// Destinations that were listed at some time.
+    Destinations(Vec<u32>),
+    /// Whose message it is.
+    Tenant(u32, String),
+    /// An endpoint that operators leave out from now on, or use again.
+    Detached(String, bool),
+    /// Outages that are remembered from now on, or not any more.
+    OutageChanges(Vec<OutageChange>),
+    /// One of some parts that are the list together: its place from 0, and how many there are. Nothing of them counts
+    /// until the last one is there.
+    TargetsPart(u32, u32, Update),
+}
+
+/// The outages that are remembered.
+#[derive(Default)]
+pub struct Outages {
+    notes: BTreeMap<OutageKey, OutageNote>,
+    /// Notes of what is held to be out.
+    out: usize,
+}
+
+impl Outages {
+    pub fn get(&self, key: &OutageKey) -> Option<&OutageNote> {
+        self.notes.get(key)
+    }
+
+    pub fn keys(&self) -> impl Iterator<Item = &OutageKey> {
+        self.notes.keys()
+    }
+
+    pub fn notes(&self) -> impl Iterator<Item = &OutageNote> {
+        self.notes.values()
+    }
+
+    /// Destinations, and endpoints that are separate routes, that are held to be out.
+    pub fn out(&self) -> usize {
+        self.out
+    }
+
+    pub fn change(&mut self, change: OutageChange) {
+        let out = |note: &OutageNote| usize::from(note.lost.is_some());
+        let before = match change {
+            OutageChange::Noted(note) => {
+                self.out += out(&note);
+                self.notes.insert(note.key(), note)
+            }
+            OutageChange::Over(key) => self.notes.remove(&key),
+        };
+        self.out -= before.as_ref().map_or(0, out);
+    }
+}
+
+/// What the records add up to.
+#[derive(Default)]
+pub struct Image {
+    /// Messages by the number that they were given when taken on, so in that order.
+    pub held: BTreeMap<u32, Held>,
+    pub last: u32,
+    pub rev: u64,
+    pub targets: BTreeMap<String, Target>,
+    /// One that has no endpoints just now may get others.
+    pub destinations: BTreeSet<u32>,
+    pub outages: Outages,
+    /// Endpoints that operators leave out, by their uids, listed or not.
+    pub detached: BTreeSet<String>,
+    /// The parts so far of a list that is not whole yet.
+    parts: Vec<Update>,
+}
+
+impl Image {
+    /// Takes one record in.
+    pub fn apply(&mut self, record: Record) {
+        match record {
+            Record::Take(number, taken) => {
+                self.last = self.last.max(number);
+                let held = Held { taken, attempts: 0, maybe_ran: None, out: None, verdict: None };
+                self.held.insert(number, held);
+            }
+            Record::Whole(number, held) => {
+                self.last = self.last.max(number);
+                self.held.insert(number, held);
+            }
+            Record::Start(number, sent) => {
+                if let Some(held) = self.held.get_mut(&number) {
+                    held.attempts += 1;
+                    held.out = Some(sent);
+                }
+            }
+            Record::Outcome(number, may_have_run) => {
+                if let Some(held) = self.held.get_mut(&number) {
+                    let sent = held.out.take().filter(|_| may_have_run);
+                    held.maybe_ran = held.maybe_ran.or(sent);
+                }
+            }
+            Record::Owe(number, verdict) => {
+                if let Some(held) = self.held.get_mut(&number) {
+                    held.verdict = Some(verdict);
+                }
+            }
+            Record::Over(number) => {
+                self.held.remove(&number);
+            }
+            Record::Targets(update) => {
+                self.parts.clear();
+                self.list(update);
+            }
+            Record::TargetsPart(place, of, update) => {
+                // What a process did not come to the end of is over when the next one begins.
+                if place == 0 {
+                    self.parts.clear();
+                }
+                if place as usize == self.parts.len() {
+                    self.parts.push(update);
+                }
+                if self.parts.len() == of as usize {
+                    std::mem::take(&mut self.parts).into_iter().for_each(|part| self.list(part));
+                }
+            }
+            Record::Outages(notes) => {
+                self.outages = Outages::default();
+                notes.into_iter().for_each(|note| self.outages.change(OutageChange::Noted(note)));
+            }
+            Record::OutageChanges(changes) => {
+                changes.into_iter().for_each(|change| self.outages.change(change));
+            }
+            Record::Tenant(number, tenant) => {
+                if let Some(held) = self.held.get_mut(&number) {
+                    held.taken.tenant = tenant;
+                }
+            }
+            Record::Destinations(destinations) => self.destinations.extend(destinations),
+            Record::Detached(uid, true) => drop(self.detached.insert(uid)),
+            Record::Detached(uid, false) => drop(self.detached.remove(&uid)),
+        }
+    }
+
+    /// Takes an update of the list in.
+    pub fn list(&mut self, update: Update) {
+        self.rev = update.rev;
+        if update.all {
+            self.targets.clear();
+        }
+        for target in update.targets {
+            self.destinations.insert(target.pod_group);
+            if target.is_gone() {
+                self.targets.remove(&target.uid);
+            } else {
+                self.targets.insert(target.uid.clone(), target);
+            }
+        }
+    }
+}
--- a/tests/journals.rs
+++ b/tests/journals.rs
@@ -1,6 +1,6 @@
 //! Journals that other builds have written, and what is in them that once did not fit.
 
-#[path = "../src/bin/gullcart/journal.rs"]
+#[path = "../src/bin/gullcart/journal/mod.rs"]
 #[allow(dead_code)]
 mod journal;
 mod world;
