--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -36,6 +36,8 @@
 /// From SIGTERM until it ends at the earliest: new connections go on coming for 0.4 s.
 const CLOSING_LEAST: Duration = Duration::from_millis(600);
 
+/// Between tries to write down what could not be written.
+const SETTLE_GAP: Duration = Duration::from_millis(50);
 /// What a call may take at most to be given up.
 const GIVING_UP: Duration = Duration::from_secs(1);
 
@@ -244,6 +246,10 @@
     late: Seldom,
     outage_lines: Seldom,
     wait_lines: Seldom,
+    /// Final outcomes whose records could not be written yet, and until when each may stay untold.
+    untold: Vec<(Notice, Instant)>,
+    /// When it is next tried to write what could not be written.
+    settle_at: Option<Instant>,
 }
 
 impl Driver {
@@ -291,6 +297,8 @@
             late: Seldom::default(),
             outage_lines: Seldom::default(),
             wait_lines: Seldom::default(),
+            untold: Vec::new(),
+            settle_at: None,
         }
     }
 
@@ -461,6 +469,11 @@
         self.pool.keep_idle(if rest { 0 } else { self.idle });
     }
 
+    /// Whether another process finds in the journal all that this one knows.
+    pub fn journal_is_settled(&self) -> bool {
+        self.journal.is_settled()
+    }
+
     pub fn journal_is_untouched(&self) -> bool {
         self.journal.is_untouched()
     }
@@ -578,6 +591,7 @@
                 _ = events.recv_many(&mut batch, BATCH) => {}
                 () = sleep_until(wake.unwrap_or(never)), if wake.is_some() => {}
                 () = sleep_until(end.unwrap_or(never)), if end.is_some() => {}
+                () = sleep_until(self.settle_at.unwrap_or(never)), if self.settle_at.is_some() => {}
                 _ = sweep.tick() => {
                     self.pool.sweep();
                     sweeps += 1;
@@ -596,6 +610,7 @@
                 self.courier.handle(self.clock.now(), Event::TickDue(token));
             }
             self.decide();
+            self.settle();
             self.lateness(begun.elapsed(), "a step took long");
             if self.may_end() {
                 return self.finish(events).await;
@@ -603,6 +618,22 @@
         }
     }
 
+    /// Writes down what could not be written, and tells the outcomes that waited for that.
+    fn settle(&mut self) {
+        let now = Instant::now();
+        if self.journal.is_settled() {
+            self.settle_at = None;
+        } else if self.settle_at.is_none_or(|at| at <= now) {
+            let written = self.journal.settle();
+            self.note(written);
+            self.settle_at = (!self.journal.is_settled()).then_some(now + SETTLE_GAP);
+        }
+        let settled = self.journal.is_settled();
+        for (notice, _) in self.untold.extract_if(.., |(_, until)| settled || *until <= now) {
+            let _ = self.notices.send(notice);
+        }
+    }
+
     /// Answers the requests that have been read but not answered: ending a connection before would lose their
     /// messages. The next process finds them in the journal.
     async fn finish(&mut self, events: &mut UnboundedReceiver<Input>) {
@@ -613,6 +644,8 @@
             // The tasks of the connections write what they were given.
             tokio::task::yield_now().await;
         }
+        let written = self.journal.settle();
+        self.note(written);
         info!(held = self.journal.image.held.len(), out = self.out.len(), "the courier ends");
     }
 
@@ -765,6 +798,10 @@
             }
             Err(error) => {
                 self.note(Err(error));
+                if self.journal.tail_is_unclean() {
+                    // The next process may find it accepted: who is refused would hand it in again.
+                    return Answer::Error("the disk fails");
+                }
                 self.counts.busy += 1;
                 Answer::Busy(Some(self.courier.come_back(now, destination)))
             }
@@ -1007,9 +1044,16 @@
     /// may hand it in again, and it must not be sent after that.
     fn owe(&mut self, message: MessageId, verdict: Verdict) {
         let written = self.journal.owe(message.0, verdict);
+        let is_written = written.is_ok();
         self.note(written);
-        if let Some(held) = self.journal.image.held.get(&message.0) {
-            let _ = self.notices.send(Notice { message, id: held.taken.id.clone(), verdict });
+        let Some(held) = self.journal.image.held.get(&message.0) else { return };
+        let notice = Notice { message, id: held.taken.id.clone(), verdict };
+        if is_written {
+            let _ = self.notices.send(notice);
+        } else {
+            // Once its time is over no process sends it any more, whatever the file says.
+            let over = self.clock.instant(self.clock.of_wall(held.taken.deadline_ms));
+            self.untold.push((notice, over));
         }
     }
 
--- a/src/bin/gullcart/journal/mod.rs
+++ b/src/bin/gullcart/journal/mod.rs
@@ -2,15 +2,21 @@
 //!
 //! Every record is written before what it promises. A write need not reach the disk (the folder outlasts the
 //! process, not the machine), but the system call must have returned.
+//!
+//! Writes may fail for a while. A record that promises something (a message accepted, an attempt begun) is refused
+//! then. All others tell what has happened already: the image holds them at once, and the file gets them, in their
+//! order and before anything else, as soon as it can be written again ([`Journal::settle`]).
 
 mod frame;
 mod record;
 
 use cloverstile::list::Update;
+use std::collections::VecDeque;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufReader, BufWriter, Write};
 use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
 use frame::{frame, list_records, pieces, read_record};
@@ -26,6 +32,8 @@
 const HARD_PART: f64 = 0.95;
 /// Room kept for the later records of each live message.
 const PER_MESSAGE: u64 = 128;
+/// After a compaction that failed, none is tried for so long.
+const COMPACT_AGAIN: Duration = Duration::from_secs(1);
 
 #[derive(Debug, Error)]
 pub enum JournalError {
@@ -47,17 +55,26 @@
     live: u64,
     disk: u64,
     pub image: Image,
+    /// Records that the image holds and the file does not, the oldest first.
+    unwritten: VecDeque<Record>,
+    /// The list in the file is older than that of the image.
+    list_unwritten: bool,
+    /// A failed write may have left bytes behind the end, which the next process could take for a record.
+    tail_unclean: bool,
+    /// Bytes of a compacted copy that could not be removed.
+    copy_left: u64,
+    /// When a compaction failed last.
+    compaction_failed: Option<Instant>,
 }
 
 impl Journal {
     /// Opens the journal of a folder and replays it. A torn or damaged tail is cut off: whatever it would have
     /// promised was not promised yet.
+    ///
+    /// # Errors
+    /// The file cannot be opened or read. Nothing has been changed then, and it may be tried again.
     pub fn open(folder: &Path, disk: u64) -> Result<Self, JournalError> {
         let path = folder.join("journal");
-        match fs::remove_file(path.with_extension("new")) {
-            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
-            _ => {}
-        }
         let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path)?;
         let end = file.metadata()?.len();
         let mut image = Image::default();
@@ -68,9 +85,61 @@
             image.apply(record);
             size += length;
         }
-        file.set_len(size)?;
         let live = image.held.values().map(cost).sum();
-        Ok(Journal { path, file, size, live, disk, image })
+        let mut journal = Journal {
+            path,
+            file,
+            size,
+            live,
+            disk,
+            image,
+            unwritten: VecDeque::new(),
+            list_unwritten: false,
+            tail_unclean: end > size,
+            copy_left: 0,
+            compaction_failed: None,
+        };
+        journal.clean_tail();
+        journal.remove_copy();
+        Ok(journal)
+    }
+
+    /// Whether the file says all that the image does, and no more.
+    pub fn is_settled(&self) -> bool {
+        self.has_all() && !self.tail_unclean
+    }
+
+    /// Whether a failed write may have left a whole record behind, which the next process would believe.
+    pub fn tail_is_unclean(&self) -> bool {
+        self.tail_unclean
+    }
+
+    /// Writes what could not be written before.
+    pub fn settle(&mut self) -> Result<(), JournalError> {
+        while let Some(record) = self.unwritten.front() {
+            self.write(&frame(record)?)?;
+            // A compaction on the way has written them all.
+            self.unwritten.pop_front();
+        }
+        if self.list_unwritten {
+            let mut bytes = Vec::new();
+            for piece in pieces(&self.image.destinations)? {
+                bytes.extend(frame(&Record::Destinations(piece.into_iter().copied().collect()))?);
+            }
+            for record in list_records(self.image.rev, true, self.image.targets.values())? {
+                bytes.extend(frame(&record)?);
+            }
+            self.write(&bytes)?;
+            self.list_unwritten = false;
+        }
+        if self.tail_unclean {
+            self.clean_tail();
+        }
+        Ok(())
+    }
+
+    fn has_all(&self) -> bool {
+        self.unwritten.is_empty() && !self.list_unwritten
     }
 
     /// Whether the file is as this process left it.
@@ -87,96 +156,141 @@
             return Err(JournalError::Full);
         }
         let tenant = taken.tenant.clone();
-        self.append(Record::Take(number, taken))?;
+        self.promise(Record::Take(number, taken))?;
         self.live += more;
-        // Taken on already, so that a failure here is none of the hand-in: without this record the next process
-        // does not know whose the message is, and the next one written tells of the disk.
         if !tenant.is_empty() {
-            let _ = self.append(Record::Tenant(number, tenant));
+            // Taken on already, so that a failure here is none of the hand-in.
+            let _ = self.tell(Record::Tenant(number, tenant));
         }
         Ok(number)
     }
 
+    /// An attempt is about to be made.
     pub fn start(&mut self, number: u32, sent: Sent) -> Result<(), JournalError> {
-        self.append(Record::Start(number, sent))
+        self.promise(Record::Start(number, sent))
     }
 
+    /// The attempt that was out has ended.
     pub fn outcome(&mut self, number: u32, may_have_run: bool) -> Result<(), JournalError> {
-        self.append(Record::Outcome(number, may_have_run))
+        self.tell(Record::Outcome(number, may_have_run))
     }
 
+    /// A message has its final outcome, which nobody has been told yet.
     pub fn owe(&mut self, number: u32, verdict: Verdict) -> Result<(), JournalError> {
-        self.append(Record::Owe(number, verdict))
+        self.tell(Record::Owe(number, verdict))
     }
 
     /// A message has its end: it was delivered, its notice was answered, or nobody wants it.
     pub fn over(&mut self, number: u32) -> Result<(), JournalError> {
         let Some(less) = self.image.held.get(&number).map(cost) else { return Ok(()) };
-        let result = self.append(Record::Over(number));
-        // Forgotten here even if it could not be written: at worst the next process tells its end once more.
-        self.image.held.remove(&number);
         self.live = self.live.saturating_sub(less);
-        result
+        self.tell(Record::Over(number))
     }
 
-    /// Writes all of an update or, as far as the next process is concerned, nothing of it.
+    /// Writes all of an update or, as far as the next process is concerned, nothing of it: the whole list later.
     pub fn targets(&mut self, update: Update) -> Result<(), JournalError> {
+        let written = self.write_update(&update);
+        self.image.list(update);
+        self.list_unwritten |= written.is_err();
+        written
+    }
+
+    fn write_update(&mut self, update: &Update) -> Result<(), JournalError> {
+        self.settle()?;
         let mut bytes = Vec::new();
         for record in list_records(update.rev, update.all, &update.targets)? {
             bytes.extend(frame(&record)?);
         }
         // At once, as a compaction between two parts would lose the first.
-        self.write(&bytes)?;
-        self.image.list(update);
-        Ok(())
+        self.write(&bytes)
     }
 
     pub fn outages(&mut self, changes: &[OutageChange]) -> Result<(), JournalError> {
         for piece in pieces(changes)? {
-            self.append(Record::OutageChanges(piece.into_iter().cloned().collect()))?;
+            self.promise(Record::OutageChanges(piece.into_iter().cloned().collect()))?;
         }
         Ok(())
     }
 
     pub fn detached(&mut self, uid: &str, out: bool) -> Result<(), JournalError> {
-        self.append(Record::Detached(uid.to_owned(), out))
+        self.promise(Record::Detached(uid.to_owned(), out))
     }
 
     fn part(&self, part: f64) -> u64 {
         (self.disk as f64 * part) as u64
     }
 
-    fn append(&mut self, record: Record) -> Result<(), JournalError> {
+    /// Writes a record that must be in the file before what it stands for happens; if it cannot be, that must not.
+    fn promise(&mut self, record: Record) -> Result<(), JournalError> {
+        self.settle()?;
         self.write(&frame(&record)?)?;
         self.image.apply(record);
         Ok(())
     }
 
+    /// Takes in a record of what has happened; the file gets it now or, after an error, later.
+    fn tell(&mut self, record: Record) -> Result<(), JournalError> {
+        let written = self.settle().and_then(|()| self.write(&frame(&record)?));
+        if written.is_ok() {
+            self.image.apply(record);
+        } else {
+            self.image.apply(record.clone());
+            self.unwritten.push_back(record);
+        }
+        written
+    }
+
     /// Writes at a place of its own keeping: what a failed write left behind is written over by the next one.
     fn write(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
         let more = bytes.len() as u64;
         let mut compacted = Ok(());
-        if self.size + more > self.part(FILE_PART) {
+        let failed_of_late = self.compaction_failed.is_some_and(|at| at.elapsed() < COMPACT_AGAIN);
+        if self.size + more > self.part(FILE_PART) && !failed_of_late {
             compacted = self.compact();
         }
-        if self.size + more > self.part(HARD_PART) {
+        if self.size + more + self.copy_left > self.part(HARD_PART) {
             return compacted.and(Err(JournalError::Full));
         }
-        self.file.write_all_at(bytes, self.size)?;
+        if self.tail_unclean {
+            self.clean_tail();
+        }
+        if let Err(error) = self.file.write_all_at(bytes, self.size) {
+            self.tail_unclean = true;
+            self.clean_tail();
+            return Err(error.into());
+        }
         self.size += more;
         Ok(())
     }
 
+    /// Cuts off what may lie behind the end. It is tried again where that fails.
+    fn clean_tail(&mut self) {
+        self.tail_unclean = self.tail_unclean && self.file.set_len(self.size).is_err();
+    }
+
+    /// Removes a compacted copy that did not come into the file's place.
+    fn remove_copy(&mut self) {
+        let copy = self.path.with_extension("new");
+        self.copy_left = match fs::remove_file(&copy) {
+            Ok(()) => 0,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => 0,
+            Err(_) => fs::metadata(&copy).map_or(0, |data| data.len()),
+        };
+    }
+
     /// Writes the image to a new file and puts it in the old one's place.
     fn compact(&mut self) -> Result<(), JournalError> {
         let new = self.path.with_extension("new");
         match self.write_image(&new) {
             Ok((file, size)) => {
-                (self.file, self.size) = (file, size);
+                (self.file, self.size, self.copy_left) = (file, size, 0);
+                (self.tail_unclean, self.list_unwritten, self.compaction_failed) = (false, false, None);
+                self.unwritten.clear();
                 Ok(())
             }
             Err(error) => {
-                let _ = fs::remove_file(&new);
+                self.compaction_failed = Some(Instant::now());
+                self.remove_copy();
                 Err(error)
             }
         }
--- a/src/bin/gullcart/journal/record.rs
+++ b/src/bin/gullcart/journal/record.rs
@@ -90,7 +90,7 @@
 }
 
 /// One change of the image.
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub enum Record {
     Take(u32, Taken),
     Start(u32, Sent),
@@ -189,6 +189,8 @@
             Record::Start(number, sent) => {
                 if let Some(held) = self.held.get_mut(&number) {
                     held.attempts += 1;
+                    // One that has no outcome may have run, also if another was begun after it.
+                    held.maybe_ran = held.maybe_ran.or(held.out.take());
                     held.out = Some(sent);
                 }
             }
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -278,7 +278,7 @@
                 () = driver.run(&mut events) => return Ok(()),
                 next = offer.asked(memory) => next,
             };
-            if *phase.borrow() != Phase::Closing {
+            if *phase.borrow() != Phase::Closing && driver.journal_is_settled() {
                 break next;
             }
             next.refuse().await;
