--- a/tests/machine_calls.rs
+++ b/tests/machine_calls.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use libc::EINTR;
+use libc::{EADDRNOTAVAIL, EINTR, EIO, ENFILE, ENOBUFS, ENOLCK, ENOMEM};
 use std::time::Duration;
 use world::*;
 
@@ -71,3 +71,63 @@
         assert!(courier.wait(Duration::from_secs(5)).success(), "{call:?}");
     }
 }
+
+/// A journal that cannot be opened or repaired for a moment is no reason to end, nor to forget it.
+#[test]
+fn a_folder_that_fails_at_the_start_is_tried_again() {
+    let calls = [
+        SystemCall::StateOpen,
+        SystemCall::StateRead,
+        SystemCall::StateTruncate,
+        SystemCall::StateUnlink,
+        SystemCall::StateLock,
+    ];
+    for call in calls {
+        let world = World::faulty(1, 1);
+        let courier = world.start();
+        assert_eq!(courier.client().enqueue("o1", "0", "notice,k=aa", 1, b"x"), "+OK");
+        let _out = world.call();
+        let stopped = courier.kill();
+        // A tail to be cut off, and a copy to be removed.
+        world.append_to_journal(b"torn");
+        world.leave_copy_of_journal();
+        world.fail(call, Fault::always(&[EIO, EINTR, ENOLCK]).times(3));
+        let courier = stopped.restart();
+        assert!(world.faults().counted(call).unwrap().hits > 0, "{call:?}");
+        let call = world.call();
+        assert_eq!(call.id, "o1");
+        call.answer("200 OK", "");
+        drop(courier);
+    }
+}
+
+/// The first address that cannot be had for a moment is tried again.
+#[test]
+fn a_courier_starts_though_its_first_calls_fail() {
+    for call in [
+        SystemCall::Socket,
+        SystemCall::Bind,
+        SystemCall::Listen,
+        SystemCall::SetSocketOption,
+        SystemCall::EpollControl,
+    ] {
+        let world = World::faulty(1, 1);
+        world.fail(call, Fault::always(&[ENOBUFS, EADDRNOTAVAIL, ENOMEM]).times(4));
+        let courier = world.start();
+        assert_eq!(world.faults().counted(call).unwrap().hits, 4, "{call:?}");
+        assert_eq!(courier.client().ask(&["PING"]), "+PONG", "{call:?}");
+    }
+}
+
+/// An event loop that cannot be made at first, and an address that cannot be told.
+#[test]
+fn a_courier_starts_though_its_event_loop_fails_at_first() {
+    let calls =
+        [SystemCall::EpollCreate, SystemCall::EventFd, SystemCall::SocketPair, SystemCall::GetSocketName];
+    for call in calls {
+        let world = World::faulty(1, 1);
+        world.fail(call, Fault::always(&[ENFILE, ENOMEM]).times(2));
+        let courier = world.start();
+        assert_eq!(courier.client().ask(&["PING"]), "+PONG", "{call:?}");
+    }
+}
