Try again at the start, at SIGHUP and at connects what the system cannot do just then

Change: persistently() around each of them, up to 20 s for what is needed to start; connects for 250 ms.

--- a/src/bin/gullcart/handover.rs
+++ b/src/bin/gullcart/handover.rs
@@ -267,6 +267,10 @@
         match lock.try_lock() {
             Ok(()) => return Ok(None),
             Err(TryLockError::WouldBlock) => {}
+            Err(TryLockError::Error(error)) if is_momentary(&error) => {
+                sleep(AGAIN).await;
+                continue;
+            }
             Err(TryLockError::Error(error)) => return Err(error),
         }
         match ask(socket, memory).await {
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -14,10 +14,13 @@
 mod wire;
 
 use cloverstile::list::{Update, Watch};
+use cloverstile::socket::{persistently, persistently_blocking, AsIoError};
 use cloverstile::{parse_settings_json, Parsed, SettingError, Settings};
 use serde::Deserialize;
+use std::cell::Cell;
 use std::ffi::OsString;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -25,6 +28,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
+use tokio::runtime::Builder;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::LocalSet;
@@ -51,7 +55,7 @@
 
 /// How often it is looked whether the last call has ended, or an address is free.
 const LOOK: Duration = Duration::from_millis(20);
-/// How long an address may stay in use.
+/// How long the operators' address is left alone after it could not be had.
 const TAKEN: Duration = Duration::from_secs(5);
 
 #[derive(Deserialize)]
@@ -86,6 +90,8 @@
     Setting(#[from] SettingError),
     #[error(transparent)]
     Journal(#[from] JournalError),
+    #[error("the system: {0}")]
+    System(std::io::Error),
     #[error("cannot listen at {0}: {1}")]
     Listen(String, std::io::Error),
 }
@@ -109,15 +115,26 @@
     std::env::var_os(name).ok_or(StartError::Variable(name))
 }
 
-fn read_config(path: &Path) -> Result<Config, StartError> {
-    Ok(serde_json::from_slice(&std::fs::read(path)?)?)
+impl AsIoError for StartError {
+    fn as_io_error(&self) -> Option<&std::io::Error> {
+        match self {
+            StartError::Read(error) | StartError::Listen(_, error) => Some(error),
+            StartError::Journal(JournalError::Io(error)) => Some(error),
+            _ => None,
+        }
+    }
+}
+
+async fn read_config(path: &Path) -> Result<Config, StartError> {
+    persistently("reading the configuration", || async { Ok(serde_json::from_slice(&std::fs::read(path)?)?) })
+        .await
 }
 
 /// Reads the configuration again on each SIGHUP. Only where discovery is may change in service; a file that
 /// cannot be read changes nothing.
 async fn follow(mut hang_up: UnboundedReceiver<()>, path: PathBuf, agent: watch::Sender<String>) {
     while hang_up.recv().await.is_some() {
-        match read_config(&path) {
+        match read_config(&path).await {
             Ok(config) => {
                 info!(discovery = config.discovery, "the configuration was read again");
                 agent.send_if_modified(|address| {
@@ -131,33 +148,34 @@
     }
 }
 
-/// Listens at an address. A process that has just ended may hold it for a moment longer than the lock.
-async fn bind(address: &str) -> Result<TcpListener, StartError> {
-    let end = Instant::now() + TAKEN;
-    let mut taken = false;
-    loop {
-        match TcpListener::bind(address).await {
-            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < end => {
-                if !taken {
-                    warn!(address, "the address is still in use");
-                    taken = true;
-                }
-                sleep(LOOK).await;
+/// Listens at an address, and tells where that is. A process that has just ended may hold it for a moment longer than
+/// the lock.
+async fn bind(address: &str) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |error| StartError::Listen(address.to_owned(), error);
+    let taken = Cell::new(false);
+    let listen = || async {
+        TcpListener::bind(address).await.map_err(|error| {
+            if error.kind() == ErrorKind::AddrInUse && !taken.replace(true) {
+                warn!(address, "the address is still in use");
             }
-            bound => return bound.map_err(|error| StartError::Listen(address.to_owned(), error)),
-        }
-    }
+            failed(error)
+        })
+    };
+    let listener = persistently("binding an address", listen).await?;
+    let bound = local_address(&listener).await.map_err(failed)?;
+    Ok((listener, bound))
+}
+
+async fn local_address(listener: &TcpListener) -> std::io::Result<SocketAddr> {
+    persistently("asking for the own address", || async { listener.local_addr() }).await
 }
 
 /// Opens the operators' door as soon as its address can be had: a courier without one serves all the same.
 async fn open_door(address: String, door: Rc<Door>) {
     loop {
         match bind(&address).await {
-            Ok(listener) => {
-                match listener.local_addr() {
-                    Ok(address) => info!(%address, "operators may call"),
-                    Err(error) => warn!(%error, "operators may call at an address that cannot be told"),
-                }
+            Ok((listener, address)) => {
+                info!(%address, "operators may call");
                 admin::serve(listener, door.clone()).await;
             }
             Err(error) => error!(%error, "operators cannot call"),
@@ -177,17 +195,18 @@
 }
 
 impl Plan {
-    fn driver(&self) -> Result<Driver, StartError> {
-        let journal = Journal::open(&self.state, self.disk)?;
+    async fn driver(&self) -> Result<Driver, StartError> {
+        let open = || async { Ok::<_, StartError>(Journal::open(&self.state, self.disk)?) };
+        let journal = persistently("opening the journal", open).await?;
         Ok(Driver::new(self.parsed.clone(), self.seed, journal, self.endpoint_sockets, self.ends.clone()))
     }
 }
 
 async fn run(handlers: Handlers) -> Result<(), StartError> {
-    let Signals { hang_up, mut terminate } = handlers.listen().await?;
+    let Signals { hang_up, mut terminate } = handlers.listen().await.map_err(StartError::System)?;
     let state = PathBuf::from(variable("BALANCER_STATE")?);
     let path = PathBuf::from(variable("BALANCER_CONFIG")?);
-    let config = read_config(&path)?;
+    let config = read_config(&path).await?;
     // First of all the door, which says that the courier is not ready yet.
     let admin = std::env::var("BALANCER_ADMIN_ADDR").ok().or(config.admin_addr).filter(|at| !at.is_empty());
     let door = Rc::new(Door::default());
@@ -203,10 +222,12 @@
         .unwrap_or_else(|_| u64::from(crc32fast::hash(config.seed.as_bytes())));
 
     // No record is touched before the folder is this process's own.
-    let (mut lock, socket) = (handover::lock_file(&state)?, handover::socket_path(&state));
+    let lock = persistently("opening the lock", || async { handover::lock_file(&state) }).await;
+    let mut lock = lock.map_err(StartError::System)?;
+    let socket = handover::socket_path(&state);
     let memory = handover::memory(&parsed);
     let begun = tokio::select! {
-        begun = handover::own(&lock, &socket, memory) => begun?,
+        begun = handover::own(&lock, &socket, memory) => begun.map_err(StartError::System)?,
         _ = terminate.recv() => return Ok(()),
     };
 
@@ -223,7 +244,7 @@
         state,
         ends: Ends { inputs: inputs.clone(), notices, watch, phase: phase.clone() },
     };
-    let mut driver = plan.driver()?;
+    let mut driver = plan.driver().await?;
     let limits = ClientLimits {
         connections: sockets.clients,
         idle: (config.limits.sockets / IDLE_OF_SOCKETS).max(1),
@@ -238,7 +259,7 @@
         None => {
             first = driver.first_watch();
             driver.restore(&known);
-            bind(&config.listen).await?
+            bind(&config.listen).await?.0
         }
         Some(Begun { memory, listener, lock: held, old }) => {
             lock = held;
@@ -253,7 +274,7 @@
             listener
         }
     };
-    let address = listener.local_addr()?;
+    let address = local_address(&listener).await.map_err(StartError::System)?;
     info!(name = config.name, %address, "listening");
     let (found, agent) = watch::channel(config.discovery);
     let gate = Arc::new(Semaphore::new(1));
@@ -309,7 +330,7 @@
             () = driver.run(&mut events) => return Ok(()),
             settled = settle => settled,
         };
-        listener = returned.map_err(std::io::Error::other)?;
+        listener = returned.map_err(std::io::Error::other).map_err(StartError::System)?;
         driver.drain(&mut events);
         if !next.shares_memory {
             driver.end_calls(&mut events).await;
@@ -325,7 +346,7 @@
                 } else {
                     // What the other one did is in the journal alone, and so is what may have run there.
                     driver.give_up(&mut events).await;
-                    driver = plan.driver()?;
+                    driver = plan.driver().await?;
                     driver.restore(&known);
                 }
                 driver.stand(before);
@@ -342,21 +363,14 @@
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
     // Before all else: without a handler a signal would end the process.
-    let handlers = match Handlers::install() {
-        Ok(handlers) => handlers,
-        Err(error) => {
-            error!(%error, "cannot start");
-            return ExitCode::FAILURE;
-        }
-    };
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            error!(%error, "cannot start");
-            return ExitCode::FAILURE;
-        }
-    };
-    match LocalSet::new().block_on(&runtime, run(handlers)) {
+    let result = persistently_blocking("handling signals", Handlers::install).and_then(|handlers| {
+        let build = || Builder::new_current_thread().enable_all().build();
+        Ok((handlers, persistently_blocking("making the event loop", build)?))
+    });
+    let result = result
+        .map_err(StartError::System)
+        .and_then(|(handlers, runtime)| LocalSet::new().block_on(&runtime, run(handlers)));
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             error!(%error, "cannot start");
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
+use std::thread;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -19,6 +20,8 @@
 
 /// How long this machine may be unable to make a connection before that is an error.
 const LOCAL_PATIENCE: Duration = Duration::from_millis(250);
+/// How long a start, or what only the courier's own machine is needed for, is tried again.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// Between two tries of what fails for a moment.
 const AGAIN: Duration = Duration::from_millis(20);
 
@@ -61,29 +64,76 @@
     }
 }
 
-/// Makes a call again until its errors are not [momentary](is_momentary) ones, and says so once.
+/// Tries of one thing, for as long as its errors are [momentary](is_momentary) ones.
+struct Tries<'a> {
+    what: &'a str,
+    end: Instant,
+    told: bool,
+}
+
+impl<'a> Tries<'a> {
+    fn new(what: &'a str) -> Self {
+        Tries { what, end: Instant::now() + PATIENCE, told: false }
+    }
+
+    /// Whether to try again after this error, which is told of once.
+    fn go_on(&mut self, error: &io::Error) -> bool {
+        let goes_on = is_momentary(error) && Instant::now() < self.end;
+        if goes_on && !self.told {
+            warn!(%error, what = self.what, "it fails for now, and is tried again");
+            self.told = true;
+        }
+        goes_on
+    }
+}
+
+/// Makes a call again for as long as its errors are [momentary](is_momentary) ones, up to 20 s.
 ///
 /// # Errors
-/// The first one that will not pass by itself.
-pub async fn persistently<T, F>(what: &str, mut call: impl FnMut() -> F) -> io::Result<T>
+/// The first one that will not pass by itself, or the last one.
+pub async fn persistently<T, E, F>(what: &str, mut call: impl FnMut() -> F) -> Result<T, E>
 where
-    F: Future<Output = io::Result<T>>,
+    E: AsIoError,
+    F: Future<Output = Result<T, E>>,
 {
-    let mut told = false;
+    let mut tries = Tries::new(what);
     loop {
         match call().await {
-            Err(error) if is_momentary(&error) => {
-                if !told {
-                    warn!(%error, what, "it fails for now, and is tried again");
-                    told = true;
-                }
-                sleep(AGAIN).await;
-            }
+            Err(error) if error.as_io_error().is_some_and(|error| tries.go_on(error)) => sleep(AGAIN).await,
             result => return result,
         }
     }
 }
 
+/// The same where no event loop runs: this thread waits.
+///
+/// # Errors
+/// The first one that will not pass by itself, or the last one.
+pub fn persistently_blocking<T, E: AsIoError>(
+    what: &str,
+    mut call: impl FnMut() -> Result<T, E>,
+) -> Result<T, E> {
+    let mut tries = Tries::new(what);
+    loop {
+        match call() {
+            Err(error) if error.as_io_error().is_some_and(|error| tries.go_on(error)) => thread::sleep(AGAIN),
+            result => return result,
+        }
+    }
+}
+
+/// An error that may be one of the system's.
+pub trait AsIoError {
+    /// The system's error, if it is one.
+    fn as_io_error(&self) -> Option<&io::Error>;
+}
+
+impl AsIoError for io::Error {
+    fn as_io_error(&self) -> Option<&io::Error> {
+        Some(self)
+    }
+}
+
 /// Connects without delay of small writes. What this machine cannot do just now is tried again for a moment.
 ///
 /// # Errors
--- a/tests/machine_calls.rs
+++ b/tests/machine_calls.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use libc::{EADDRNOTAVAIL, EINTR, EIO, ENFILE, ENOBUFS, ENOLCK, ENOMEM};
+use libc::{EADDRNOTAVAIL, EAGAIN, EINTR, EIO, ENETUNREACH, ENFILE, ENOBUFS, ENOLCK, ENOMEM};
 use std::time::Duration;
 use world::*;
 
@@ -131,3 +131,35 @@
         assert_eq!(courier.client().ask(&["PING"]), "+PONG", "{call:?}");
     }
 }
+
+/// A configuration that cannot be read just then is read a moment later.
+#[test]
+fn a_configuration_that_cannot_be_read_at_once_is_read_later() {
+    for call in [SystemCall::ConfigOpen, SystemCall::ConfigRead] {
+        let world = World::faulty(2, 1);
+        let courier = world.start();
+        let agent = world.agent_with_drain(0);
+        world.configure(&agent);
+        world.fail(call, Fault::always(&[ENFILE, EIO]).times(2));
+        courier.hang_up();
+        courier.log_until("the configuration was read again");
+        assert!(world.faults().counted(call).unwrap().hits > 0, "{call:?}");
+    }
+}
+
+/// A connection that this machine cannot make for a moment says nothing of the endpoint, and is made a moment later.
+#[test]
+fn a_connect_that_fails_here_is_no_outage_there() {
+    let errors = [EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, ENFILE, EAGAIN, EINTR];
+    for (call, error) in
+        errors.map(|error| (SystemCall::Connect, error)).into_iter().chain([(SystemCall::Socket, ENFILE)])
+    {
+        let world = World::faulty(1, 1);
+        let courier = world.start();
+        world.until_watched();
+        world.fail(call, Fault::always(&[error]).times(2));
+        assert_eq!(courier.client().enqueue("c1", "0", "salary", 1, b"x"), "+OK");
+        world.call().answer("200 OK", "");
+        assert!(!courier.has_logged("held to be out"), "{call:?} {error}");
+    }
+}
