--- a/tests/machine_disk.rs
+++ b/tests/machine_disk.rs
@@ -4,6 +4,7 @@
 mod world;
 
 use libc::{EIO, ENOSPC};
+use std::time::{Duration, Instant};
 use world::*;
 
 /// A disk that has no room, or breaks.
@@ -77,3 +78,30 @@
     assert_eq!(told, [failed("t1"), failed("t2")]);
     world.nothing();
 }
+
+/// Attempts that cannot be written down are not made, and cost a message none of those that it has: it goes out as
+/// soon as the disk can be written again.
+#[test]
+fn a_disk_that_fails_for_a_while_uses_up_no_attempts() {
+    let mut world = World::faulty(1, 1);
+    world.aim = 3;
+    let courier = world.start();
+    let mut client = courier.client();
+    assert_eq!(client.enqueue("d1", "0", "salary", 1, b"x"), "+OK");
+    let call = world.call();
+    assert_eq!(client.enqueue("d2", "0", "salary", 1, b"x"), "+OK");
+    let second = world.call();
+    world.fail(SystemCall::StateWrite, Fault::always(&DISK));
+    call.answer("503 Service Unavailable", "");
+    second.answer("503 Service Unavailable", "");
+    // Longer than it takes to use up all attempts.
+    let end = Instant::now() + Duration::from_secs(8);
+    while Instant::now() < end {
+        world.nothing();
+    }
+    world.faults().clear(SystemCall::StateWrite).unwrap();
+    for _ in 0..2 {
+        world.call().answer("200 OK", "");
+    }
+    world.nothing();
+}
