Count no attempt that the courier's own machine could not make

Cause: an attempt whose record could not be written, or whose connection this machine could not make, came back as Moot (driver.rs not_made, calls.rs open) and used up one of the message's attempts: with a disk that failed for 8 s untried messages were handed back, '{"after_ms":150,"id":"d1","state":"returned"}'. Change: the outcome NotMade, which the module (and its reference, by the same lines) does not count; what came too late to leave stays Moot.

--- a/src/bin/gullcart/calls.rs
+++ b/src/bin/gullcart/calls.rs
@@ -309,9 +309,10 @@
 
     async fn open(&self, address: SocketAddr, until: Instant) -> Result<Connection, Outcome> {
         // Without a descriptor nothing was tried, which says nothing of the endpoint.
-        let descriptor = timeout_at(until, self.descriptor()).await.map_err(|_| Outcome::Moot)?;
+        let descriptor = timeout_at(until, self.descriptor()).await.map_err(|_| Outcome::NotMade)?;
         match timeout_at(until, connect(address, descriptor)).await {
             Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(error)) if socket::is_of_this_machine(&error) => Err(Outcome::NotMade),
             // Refused, or it never came up: nothing was sent.
             Ok(Err(_)) | Err(_) => Err(Outcome::ConnectFailed),
         }
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -156,9 +156,14 @@
     }
 }
 
-/// An attempt that was not made.
-const NOT_MADE: Ended =
-    Ended { outcome: Outcome::Moot, latency: Duration::ZERO, complete: false, allowance: None };
+/// An attempt that was not made, as its time to leave had passed.
+const TOO_LATE: Ended = not_sent(Outcome::Moot);
+/// An attempt that was not made, as it could not be written down.
+const NOT_WRITTEN: Ended = not_sent(Outcome::NotMade);
+
+const fn not_sent(outcome: Outcome) -> Ended {
+    Ended { outcome, latency: Duration::ZERO, complete: false, allowance: None }
+}
 
 /// What the log tells of the load.
 #[derive(Default)]
@@ -951,10 +956,10 @@
             });
             // An attempt that the next process would not know of is not made.
             let written = self.journal.start(message.0, (self.clock.to_journal(now), zone));
-            let known = load.zip(address).filter(|_| written.is_ok());
+            let is_written = written.is_ok();
             self.note(written);
-            let Some((load, address)) = known else {
-                self.not_made(message, endpoint);
+            let Some((load, address)) = load.zip(address).filter(|_| is_written) else {
+                self.not_made(message, endpoint, if is_written { TOO_LATE } else { NOT_WRITTEN });
                 continue;
             };
             if size + load.batched_size() > LONGEST_BODY && !carried.is_empty() {
@@ -969,10 +974,10 @@
         }
     }
 
-    fn not_made(&mut self, message: MessageId, endpoint: EndpointId) {
+    fn not_made(&mut self, message: MessageId, endpoint: EndpointId, ended: Ended) {
         let call = CallOut { stop: Cell::default(), sent: Rc::default(), _elsewhere: None };
         self.take_out(message, endpoint, &Rc::new(call));
-        let ended = CallEnded { each: vec![NOT_MADE], wait: None };
+        let ended = CallEnded { each: vec![ended], wait: None };
         let _ = self.inputs.send(Input::Ended(endpoint, vec![message], ended));
     }
 
@@ -995,7 +1000,7 @@
         let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let too_late = |messages: Vec<MessageId>| {
-                let ended = CallEnded { each: vec![NOT_MADE; messages.len()], wait: None };
+                let ended = CallEnded { each: vec![TOO_LATE; messages.len()], wait: None };
                 let _ = inputs.send(Input::Ended(endpoint, messages, ended));
             };
             let ended = pool.call(&mut call, stopped, sent, too_late).await;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -391,6 +391,9 @@
     Spent,
     /// Turned away for the connection that it came on: the endpoint has too many. Its limit was not met.
     Crowded,
+    /// The courier's own machine could not make the attempt (its disk, descriptors, memory or ports): it is none of
+    /// those that the message has, and says nothing of the endpoint.
+    NotMade,
 }
 
 impl Outcome {
@@ -398,7 +401,12 @@
     pub fn never_ran(self) -> bool {
         matches!(
             self,
-            Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot | Outcome::Spent | Outcome::Crowded
+            Outcome::Full(_)
+                | Outcome::ConnectFailed
+                | Outcome::Moot
+                | Outcome::Spent
+                | Outcome::Crowded
+                | Outcome::NotMade
         )
     }
 }
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -45,12 +45,20 @@
     Errno::BUSY,
 ];
 
-/// Whether an error says that this machine could not do something just now, and may do it a moment later. It says
-/// nothing of whoever is on the other side.
+/// Whether an error says that something could not be done just now, and may be possible a moment later.
 pub fn is_momentary(error: &io::Error) -> bool {
     error.raw_os_error().is_some_and(|raw| MOMENTARY.iter().any(|errno| errno.raw_os_error() == raw))
 }
 
+/// Errors of a connect that this machine alone is to blame for.
+const OF_THIS_MACHINE: [Errno; 7] =
+    [Errno::AGAIN, Errno::INTR, Errno::NFILE, Errno::MFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
+
+/// Whether a connect failed for want of something on this machine, and so says nothing of the other side.
+pub fn is_of_this_machine(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|raw| OF_THIS_MACHINE.iter().any(|errno| errno.raw_os_error() == raw))
+}
+
 /// Makes a call again for as long as signals interrupt it.
 ///
 /// # Errors
--- a/tests/reference/choice.rs
+++ b/tests/reference/choice.rs
@@ -539,6 +539,9 @@
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         let class = &self.settings.classes[usize::from(message.taken.class.0)];
         let never_ran = finished.outcome.never_ran();
+        if finished.outcome == Outcome::NotMade {
+            message.attempts = message.attempts.saturating_sub(1);
+        }
         if finished.outcome == Outcome::Spent {
             message.attempts = self.settings.send_cap;
         }
@@ -612,7 +615,12 @@
                     let gap = growing_gap(rules.fall, TRIAL_GAPS_OF_FALL.0, address.failures).min(rules.cold);
                     address.avoid_until = now + gap.mul_f64(self.rng.f64());
                 }
-                Outcome::Spoilt | Outcome::Cancelled | Outcome::Moot | Outcome::Spent | Outcome::Crowded => {}
+                Outcome::Spoilt
+                | Outcome::Cancelled
+                | Outcome::Moot
+                | Outcome::Spent
+                | Outcome::Crowded
+                | Outcome::NotMade => {}
             }
             if self.crowded > now {
                 address.used = None;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -8,7 +8,8 @@
 
 const MAYBE_RAN: [Outcome; 5] =
     [Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Spoilt, Outcome::Cancelled];
-const NEVER_RAN: [Outcome; 3] = [Outcome::Full(None), Outcome::ConnectFailed, Outcome::Moot];
+const NEVER_RAN: [Outcome; 4] =
+    [Outcome::Full(None), Outcome::ConnectFailed, Outcome::Moot, Outcome::NotMade];
 
 fn one(class: Class) -> Bench {
     Bench::new(settings(vec![class]), vec![endpoint(7, 1)])
--- a/tests/same_decisions.rs
+++ b/tests/same_decisions.rs
@@ -92,6 +92,7 @@
     "outcome Cancelled",
     "outcome ConnectFailed",
     "outcome Crowded",
+    "outcome NotMade",
     "outcome Error",
     "outcome Full",
     "outcome Moot",
@@ -693,6 +694,7 @@
                     Outcome::Spoilt,
                     Outcome::Crowded,
                     Outcome::Moot,
+                    Outcome::NotMade,
                     Outcome::Spent,
                     Outcome::Cancelled,
                     Outcome::Full(Some(Duration::ZERO)),
@@ -721,6 +723,7 @@
             Outcome::Moot => "outcome Moot",
             Outcome::Spent => "outcome Spent",
             Outcome::Crowded => "outcome Crowded",
+            Outcome::NotMade => "outcome NotMade",
         });
         if out.allowance.is_some() {
             reached("allowance told");
