--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -1,7 +1,7 @@
 //! The server for clients: RESP2 requests in, one answer each, on a bounded number of connections.
 
 use bytes::{Buf, Bytes, BytesMut};
-use cloverstile::socket::{send_at_once, try_transfer, write_all};
+use cloverstile::socket::{not_now, send_at_once, try_transfer, write_all, Transfer};
 use cloverstile::MessageId;
 use socket2::SockRef;
 use std::cell::RefCell;
@@ -449,7 +449,7 @@
                     return come;
                 }
             }
-            return self.read_now();
+            return self.read_now().await;
         }
         let give_way = self.place.give_way.clone();
         loop {
@@ -458,7 +458,7 @@
                 // Room is made only when there is something to read: idle connections hold none.
                 ready = self.stream.readable() => ready?,
                 () = give_way.notified() => {
-                    let come = self.read_now()?;
+                    let come = self.read_now().await?;
                     match come {
                         // Of a request that has begun, the rest may be on its way: it is owed a word.
                         Come::End if !between => return Ok(Come::Late),
@@ -468,12 +468,12 @@
                     return Ok(come);
                 }
                 () = tokio::time::sleep_until(due) => {
-                    return if between { self.read_now() } else { Ok(Come::Late) };
+                    return if between { self.read_now().await } else { Ok(Come::Late) };
                 }
                 // Looked at anew by the caller: what has come meanwhile is read first.
                 Ok(()) = self.phase.changed() => return Ok(Come::Turned),
             }
-            if let Some(come) = self.try_read()? {
+            if let Some(come) = self.try_read().await? {
                 return Ok(come);
             }
         }
@@ -483,29 +483,39 @@
     async fn read_ready(&mut self) -> io::Result<Come> {
         loop {
             self.stream.readable().await?;
-            if let Some(come) = self.try_read()? {
+            if let Some(come) = self.try_read().await? {
                 return Ok(come);
             }
         }
     }
 
     /// What has come as far as the runtime knows. It may say that something has, and be wrong: then none.
-    fn try_read(&mut self) -> io::Result<Option<Come>> {
+    async fn try_read(&mut self) -> io::Result<Option<Come>> {
         self.buffer.reserve(READ);
         let Client { stream, buffer, .. } = self;
-        let count = try_transfer(|| stream.try_read_buf(buffer))?;
-        Ok(count.map(|count| if count == 0 { Come::End } else { Come::More }))
+        Ok(match try_transfer(|| stream.try_read_buf(buffer))? {
+            Transfer::Bytes(0) => Some(Come::End),
+            Transfer::Bytes(_) => Some(Come::More),
+            Transfer::Nothing => None,
+            Transfer::NotNow => {
+                not_now().await;
+                None
+            }
+        })
     }
 
     /// What has come already, without waiting; the end if there is nothing. Asks the system itself: what the
     /// runtime has not yet been told of would be closed over.
-    fn read_now(&mut self) -> io::Result<Come> {
-        let mut bytes = [0; READ];
-        match try_transfer(|| (&*SockRef::from(&self.stream)).read(&mut bytes))? {
-            None | Some(0) => Ok(Come::End),
-            Some(count) => {
-                self.buffer.extend_from_slice(&bytes[..count]);
-                Ok(Come::More)
+    async fn read_now(&mut self) -> io::Result<Come> {
+        loop {
+            let mut bytes = [0; READ];
+            match try_transfer(|| (&*SockRef::from(&self.stream)).read(&mut bytes))? {
+                Transfer::Nothing | Transfer::Bytes(0) => return Ok(Come::End),
+                Transfer::Bytes(count) => {
+                    self.buffer.extend_from_slice(&bytes[..count]);
+                    return Ok(Come::More);
+                }
+                Transfer::NotNow => not_now().await,
             }
         }
     }
@@ -516,7 +526,7 @@
         let Client { stream, buffer, .. } = self;
         buffer.is_empty()
             && match try_transfer(|| stream.try_read_buf(buffer)) {
-                Ok(count) => count == Some(0),
+                Ok(transfer) => transfer == Transfer::Bytes(0),
                 Err(_) => true,
             }
     }
@@ -593,8 +603,10 @@
             while left > 0 {
                 stream.readable().await?;
                 match discard(stream)? {
-                    Some(0) => break,
-                    count => left = left.saturating_sub(count.unwrap_or_default()),
+                    Transfer::Bytes(0) => break,
+                    Transfer::Bytes(count) => left = left.saturating_sub(count),
+                    Transfer::Nothing => {}
+                    Transfer::NotNow => not_now().await,
                 }
                 yield_now().await;
             }
@@ -608,7 +620,7 @@
 }
 
 /// Reads what is there and throws it away, into the one buffer that all connections share for that.
-fn discard(stream: &TcpStream) -> io::Result<Option<usize>> {
+fn discard(stream: &TcpStream) -> io::Result<Transfer> {
     thread_local! {
         static BIN: RefCell<Box<[u8]>> = RefCell::new(vec![0; DRAIN_READ].into());
     }
--- a/src/bin/gullcart/signals.rs
+++ b/src/bin/gullcart/signals.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::timeout;
 
-use cloverstile::socket::{persistently, try_transfer};
+use cloverstile::socket::{not_now, persistently, try_transfer, Transfer};
 
 /// The signals' flags are looked at this often even if nothing wakes the loop.
 const LOST_WAKE: Duration = Duration::from_secs(1);
@@ -60,7 +60,7 @@
         tokio::task::spawn_local(async move {
             loop {
                 let _ = timeout(LOST_WAKE, wakes.readable()).await;
-                drain(&wakes);
+                drain(&wakes).await;
                 pass_on(&hang_up, &hang_ups);
                 pass_on(&terminate, &ends);
             }
@@ -70,9 +70,16 @@
 }
 
 /// Reads the wakes away: the flags say what there is.
-fn drain(wakes: &UnixStream) {
+async fn drain(wakes: &UnixStream) {
     let mut bytes = [0; 64];
-    while let Ok(Some(1..)) = try_transfer(|| wakes.try_read(&mut bytes)) {}
+    loop {
+        match try_transfer(|| wakes.try_read(&mut bytes)) {
+            Ok(Transfer::Bytes(1..)) => {}
+            Ok(Transfer::Nothing) => return,
+            // What stays unread would wake the loop at once.
+            Ok(Transfer::Bytes(0) | Transfer::NotNow) | Err(_) => return not_now().await,
+        }
+    }
 }
 
 fn pass_on(raised: &AtomicBool, heard: &UnboundedSender<()>) {
--- a/src/bin/gullcart/wire.rs
+++ b/src/bin/gullcart/wire.rs
@@ -1,7 +1,7 @@
 //! What is seen of a connection's bytes on their way to and from the HTTP library: whether any of a call was
 //! written, what the first line of its answer says, and whether bytes lie there that belong to no call.
 
-use cloverstile::socket;
+use cloverstile::socket::{self, Transfer};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -113,8 +113,10 @@
         let mut rest = [0; 1024];
         loop {
             self.stream.readable().await?;
-            if socket::try_transfer(|| self.stream.try_read(&mut rest))? == Some(0) {
-                return Ok(());
+            match socket::try_transfer(|| self.stream.try_read(&mut rest))? {
+                Transfer::Bytes(0) => return Ok(()),
+                Transfer::Bytes(_) | Transfer::Nothing => {}
+                Transfer::NotNow => socket::not_now().await,
             }
         }
     }
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -167,18 +167,40 @@
     }
 }
 
-/// Reads what there is, as far as the runtime knows of any; none if there is nothing.
+/// What came of a read or write that does not wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Transfer {
+    /// So many bytes; none at the end of what is read.
+    Bytes(usize),
+    /// There is nothing to read, or no room: the runtime tells when there is.
+    Nothing,
+    /// The system is short of memory. The connection is whole, and nobody tells when to try again.
+    NotNow,
+}
+
+/// Makes one read or write that does not wait.
 ///
 /// # Errors
 /// The connection is broken.
-pub fn try_transfer(mut transfer: impl FnMut() -> io::Result<usize>) -> io::Result<Option<usize>> {
+pub fn try_transfer(mut transfer: impl FnMut() -> io::Result<usize>) -> io::Result<Transfer> {
     match uninterrupted(&mut transfer) {
-        Ok(count) => Ok(Some(count)),
-        Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(None),
+        Ok(count) => Ok(Transfer::Bytes(count)),
+        Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(Transfer::Nothing),
+        Err(error) if is_want_of_memory(&error) => Ok(Transfer::NotNow),
         Err(error) => Err(error),
     }
 }
 
+fn is_want_of_memory(error: &io::Error) -> bool {
+    let raw = error.raw_os_error();
+    raw == Some(Errno::NOMEM.raw_os_error()) || raw == Some(Errno::NOBUFS.raw_os_error())
+}
+
+/// Waits until a read or write may be tried again for which there was [no memory](Transfer::NotNow).
+pub async fn not_now() {
+    sleep(AGAIN).await;
+}
+
 /// Writes all of it.
 ///
 /// # Errors
@@ -187,9 +209,10 @@
     while !bytes.is_empty() {
         stream.writable().await?;
         match try_transfer(|| stream.try_write(bytes))? {
-            Some(0) => return Err(ErrorKind::WriteZero.into()),
-            Some(count) => bytes = &bytes[count..],
-            None => {}
+            Transfer::Bytes(0) => return Err(ErrorKind::WriteZero.into()),
+            Transfer::Bytes(count) => bytes = &bytes[count..],
+            Transfer::Nothing => {}
+            Transfer::NotNow => not_now().await,
         }
     }
     Ok(())
@@ -202,8 +225,10 @@
 pub fn poll_read(stream: &TcpStream, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
     loop {
         ready!(stream.poll_read_ready(cx))?;
-        if let Some(count) = try_transfer(|| stream.try_read(bytes))? {
-            return Poll::Ready(Ok(count));
+        match try_transfer(|| stream.try_read(bytes))? {
+            Transfer::Bytes(count) => return Poll::Ready(Ok(count)),
+            Transfer::Nothing => {}
+            Transfer::NotNow => return next_turn(cx),
         }
     }
 }
@@ -219,12 +244,20 @@
 ) -> Poll<io::Result<usize>> {
     loop {
         ready!(stream.poll_write_ready(cx))?;
-        if let Some(count) = try_transfer(|| write(stream))? {
-            return Poll::Ready(Ok(count));
+        match try_transfer(|| write(stream))? {
+            Transfer::Bytes(count) => return Poll::Ready(Ok(count)),
+            Transfer::Nothing => {}
+            Transfer::NotNow => return next_turn(cx),
         }
     }
 }
 
+/// Has a task look again once all others have had their turn.
+fn next_turn<T>(cx: &mut Context<'_>) -> Poll<T> {
+    cx.waker().wake_by_ref();
+    Poll::Pending
+}
+
 /// A connection for libraries that read and write by themselves.
 #[derive(Debug)]
 pub struct SteadyStream(pub TcpStream);
--- /dev/null
+++ b/tests/machine_sweep.rs
@@ -0,0 +1,232 @@
+//! Every system call that a courier makes, with every error that Linux documents for it and that may pass, from the
+//! first call of the process on: a short life of a courier, with a new configuration, an end and a restart, in which
+//! each request has to get its final answer inside the rules.
+
+mod world;
+
+use libc::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::thread;
+use std::time::{Duration, Instant};
+use world::*;
+
+/// Messages of each class that one life brings.
+const MESSAGES: usize = 8;
+/// Messages that it takes at most until the journal is compacted.
+const MOST_FILLERS: usize = 200;
+/// Longer than a courier takes for anything here; clients wait shorter, but the machine may be busy.
+const ANSWER: Duration = Duration::from_secs(3);
+/// All that was accepted has its end by then.
+const ENDS: Duration = Duration::from_secs(30);
+
+/// Whether the courier's client may find its connection closed with no answer: where the system told the courier that
+/// the connection is broken, or refused to keep it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Clients {
+    AreAnswered,
+    MayBeCutOff,
+}
+
+/// What is known of one message.
+#[derive(Default)]
+struct Message {
+    is_unsafe: bool,
+    accepted: bool,
+    refused: bool,
+    /// Calls whose outcome nobody knows, or that ran.
+    may_have_run: usize,
+    calls: usize,
+    delivered: bool,
+    notified: bool,
+}
+
+/// A courier's life among endpoints that serve, refuse and break connections.
+struct Life<'a> {
+    world: &'a World,
+    messages: BTreeMap<String, Message>,
+    /// Ids that one life of the process did not bring to their end.
+    owed: BTreeSet<String>,
+    calls: usize,
+}
+
+impl<'a> Life<'a> {
+    fn new(world: &'a World) -> Self {
+        Life { world, messages: BTreeMap::new(), owed: BTreeSet::new(), calls: 0 }
+    }
+
+    /// Hands in a message of an id, again on a new connection where the last one was closed before its answer.
+    fn hand_in(&mut self, courier: &Courier, id: &str, is_unsafe: bool, clients: Clients) {
+        let class = if is_unsafe { "salary" } else { "notice,k=aa" };
+        let mut message = Message { is_unsafe, ..Message::default() };
+        let answer = (|| -> io::Result<String> {
+            let mut client = courier.try_client(ANSWER)?;
+            client.begin_enqueue(id, "0", class, 1, &[b'x'; 3000]);
+            client.try_line()
+        })();
+        match answer {
+            Ok(line) if line == "+OK" => {
+                message.accepted = true;
+                self.owed.insert(id.to_owned());
+            }
+            Ok(line) if line.starts_with('-') => message.refused = true,
+            other => assert!(clients == Clients::MayBeCutOff, "{id} was not answered: {other:?}"),
+        }
+        self.messages.insert(id.to_owned(), message);
+        self.see(Duration::ZERO);
+    }
+
+    /// Takes in what the courier has done, for so long at most or until nothing is owed any more.
+    fn see(&mut self, limit: Duration) {
+        let end = Instant::now() + limit;
+        while let Some(seen) = self.world.seen_within(end.saturating_duration_since(Instant::now())) {
+            match seen {
+                Seen::Call(call) => self.serve(call),
+                Seen::Notice(line) => {
+                    let notice: serde_json::Value = serde_json::from_str(&line).unwrap();
+                    let id = notice["id"].as_str().unwrap();
+                    self.messages.get_mut(id).unwrap_or_else(|| panic!("nobody's notice: {line}")).notified =
+                        true;
+                    self.owed.remove(id);
+                }
+            }
+            if self.owed.is_empty() && limit > Duration::ZERO {
+                return;
+            }
+        }
+    }
+
+    /// Serves two calls of four; one is refused, and the connection of one is broken.
+    fn serve(&mut self, call: Call) {
+        self.calls += 1;
+        let message = self.messages.entry(call.id.clone()).or_default();
+        assert!(!message.refused, "{} was sent though its client was refused", call.id);
+        assert!(!(message.is_unsafe && message.may_have_run > 0), "{} may have run, and came again", call.id);
+        message.calls += 1;
+        assert!(message.calls <= 8, "{} has had all its attempts", call.id);
+        match self.calls % 4 {
+            1 => call.answer("503 Service Unavailable", ""),
+            3 if !message.is_unsafe => {
+                message.may_have_run += 1;
+                call.reset();
+            }
+            _ => {
+                message.may_have_run += 1;
+                message.delivered = true;
+                self.owed.remove(&call.id);
+                call.answer("200 OK", "");
+            }
+        }
+    }
+
+    /// Waits until all that was accepted has its end.
+    fn settle(&mut self, what: &str) {
+        self.see(ENDS);
+        assert!(self.owed.is_empty(), "{what}: no end for {:?}", self.owed);
+    }
+}
+
+/// Which calls of a kind fail: the first ones of each process where there are only a few, or a part of all.
+#[derive(Clone, Copy)]
+enum Which {
+    First(u32),
+    Part(f64),
+}
+
+use Which::{First, Part};
+
+/// Lets calls fail with each of the errors, through a life for each.
+fn live_with(call: SystemCall, errors: &[i32], which: Which, clients: Clients) {
+    thread::scope(|lives| {
+        for (seed, error) in errors.iter().enumerate() {
+            lives.spawn(move || live_with_error(call, *error, seed as u64 + 1, which, clients));
+        }
+    });
+}
+
+fn live_with_error(call: SystemCall, error: i32, seed: u64, which: Which, clients: Clients) {
+    let mut world = World::faulty(2, seed);
+    // Small, so that the journal is compacted; and with what a killed process has left behind.
+    world.disk_mb = 0.06;
+    world.aim = 3;
+    world.append_to_journal(b"torn");
+    world.leave_copy_of_journal();
+    let fault = Fault::always(&[error]);
+    world.fail(
+        call,
+        match which {
+            First(count) => fault.times(count),
+            Part(part) => fault.part(part),
+        },
+    );
+    live(&world, &format!("{call:?} {error}"), clients);
+    let counted = world.faults().counted(call).unwrap();
+    assert!(counted.hits > 0, "{call:?} {error}: {counted:?}");
+}
+
+fn live(world: &World, what: &str, clients: Clients) {
+    let mut life = Life::new(world);
+    let mut courier = world.start();
+    for number in 0..MESSAGES {
+        life.hand_in(&courier, &format!("a{number}"), true, clients);
+        life.hand_in(&courier, &format!("b{number}"), false, clients);
+    }
+    // Until the journal is compacted, whether or not that comes to its end.
+    let compactions = || world.faults().counted(SystemCall::StateRename).unwrap().calls;
+    for number in (0..MOST_FILLERS).take_while(|_| compactions() == 0) {
+        life.hand_in(&courier, &format!("e{number}"), false, clients);
+        life.see(Duration::from_millis(20));
+    }
+    assert!(compactions() > 0, "{what}: the journal was never compacted");
+    courier.hang_up();
+    life.hand_in(&courier, "c0", true, clients);
+    courier.terminate();
+    assert!(courier.wait(Duration::from_secs(6)).success(), "{what}: the process did not end well");
+    let courier = world.start();
+    life.hand_in(&courier, "d0", true, clients);
+    life.hand_in(&courier, "d1", false, clients);
+    life.settle(what);
+    assert!(!courier.has_logged("panicked"), "{what}");
+}
+
+/// A test for each call, with its errors, the part of the calls that fail, and what that means for clients.
+macro_rules! lives {
+    ($($name:ident: $call:ident, [$($error:expr),+], $part:expr, $clients:ident;)+) => {
+        $(#[test]
+        fn $name() {
+            live_with(SystemCall::$call, &[$($error),+], $part, Clients::$clients);
+        })+
+    };
+}
+
+lives! {
+    accept: Accept, [EINTR, ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EPERM, ETIMEDOUT, EHOSTUNREACH], Part(0.5), AreAnswered;
+    socket: Socket, [EMFILE, ENFILE, ENOBUFS, ENOMEM], Part(0.3), AreAnswered;
+    bind: Bind, [EADDRINUSE, EADDRNOTAVAIL, ENOMEM], First(3), AreAnswered;
+    listen: Listen, [EADDRINUSE], First(3), AreAnswered;
+    connect: Connect, [EADDRNOTAVAIL, EAGAIN, EINTR, ENETUNREACH, ENOBUFS, ECONNREFUSED, ETIMEDOUT, EHOSTUNREACH], Part(0.3), AreAnswered;
+    connect_result: ConnectResult, [ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ECONNREFUSED, ECONNRESET], Part(0.3), AreAnswered;
+    set_socket_option: SetSocketOption, [ENOBUFS, ENOMEM], Part(0.3), AreAnswered;
+    get_socket_name: GetSocketName, [ENOBUFS], First(3), AreAnswered;
+    shutdown: Shutdown, [ENOTCONN, ENOBUFS], First(3), AreAnswered;
+    tcp_read: TcpRead, [EINTR, SystemCall::SHORT, ENOMEM, ENOBUFS], Part(0.3), AreAnswered;
+    tcp_write: TcpWrite, [EINTR, SystemCall::SHORT, ENOMEM, ENOBUFS], Part(0.3), AreAnswered;
+    broken_tcp_read: TcpRead, [ECONNRESET, ETIMEDOUT, EHOSTUNREACH, ENETUNREACH], Part(0.1), MayBeCutOff;
+    broken_tcp_write: TcpWrite, [EPIPE, ECONNRESET, ETIMEDOUT, EHOSTUNREACH], Part(0.1), MayBeCutOff;
+    unix_read: UnixRead, [EINTR, ENOMEM], Part(0.5), AreAnswered;
+    unix_write: UnixWrite, [EINTR, EAGAIN], Part(0.5), AreAnswered;
+    socket_pair: SocketPair, [EMFILE, ENFILE, ENOMEM], First(2), AreAnswered;
+    epoll_create: EpollCreate, [EMFILE, ENFILE, ENOMEM], First(2), AreAnswered;
+    epoll_control: EpollControl, [ENOMEM, ENOSPC], Part(0.2), MayBeCutOff;
+    epoll_wait: EpollWait, [EINTR], Part(0.3), AreAnswered;
+    event_fd: EventFd, [EMFILE, ENFILE, ENOMEM], First(2), AreAnswered;
+    state_open: StateOpen, [EIO, ENOSPC, EDQUOT, EMFILE, ENFILE, EINTR, ENOMEM], First(3), AreAnswered;
+    state_read: StateRead, [EIO, EINTR, SystemCall::SHORT], First(2), AreAnswered;
+    state_write: StateWrite, [EIO, ENOSPC, EDQUOT, EINTR, SystemCall::SHORT, SystemCall::TORN], Part(0.2), AreAnswered;
+    state_truncate: StateTruncate, [EIO, EINTR], First(2), AreAnswered;
+    state_rename: StateRename, [EIO, ENOSPC, EDQUOT, EBUSY, ENOMEM], First(2), AreAnswered;
+    state_unlink: StateUnlink, [EIO, EBUSY, ENOMEM], First(2), AreAnswered;
+    state_lock: StateLock, [EINTR, ENOLCK], First(2), AreAnswered;
+    config_open: ConfigOpen, [EIO, EMFILE, ENFILE, EINTR, ENOMEM], First(2), AreAnswered;
+    config_read: ConfigRead, [EIO, EINTR, SystemCall::SHORT], First(1), AreAnswered;
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -115,7 +115,7 @@
     pub known: Cell<usize>,
     /// Where clients connect; the system chooses if nothing is told.
     pub listen: Cell<SocketAddr>,
-    disk_mb: f64,
+    pub disk_mb: f64,
     /// Which system calls of its couriers fail; none where they are not started with the shim.
     faults: Option<FaultPage>,
     fault_seed: Cell<u64>,
@@ -353,6 +353,11 @@
         self.seen.recv_timeout(PATIENCE).expect("the courier does something")
     }
 
+    /// The next thing that the courier does, if it does one in time.
+    pub fn seen_within(&self, limit: Duration) -> Option<Seen> {
+        self.seen.recv_timeout(limit).ok()
+    }
+
     pub fn call(&self) -> Call {
         match self.call_or_notice() {
             Seen::Call(call) => call,
@@ -541,6 +546,11 @@
         Client::connect(self.address, PATIENCE).unwrap()
     }
 
+    /// A client whose answers have to come in some time.
+    pub fn try_client(&self, limit: Duration) -> std::io::Result<Client> {
+        Client::connect(self.address, limit)
+    }
+
     pub fn kill(mut self) -> Stopped<'a> {
         self.process.child.kill().unwrap();
         self.process.child.wait().unwrap();
