--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -23,6 +23,22 @@
 pub use fault_page::{Call as SystemCall, Fault, FaultPage};
 pub use stand_ins::{Agent, Call, Client, Seen};
 
+/// Where this names a seed, all couriers of all tests run with the faults below.
+const EVERYWHERE_VARIABLE: &str = "FAULTS_EVERYWHERE";
+/// Faults that change nothing of what a test may expect.
+const EVERYWHERE: [(SystemCall, &[i32]); 9] = [
+    (SystemCall::Accept, &[libc::ECONNABORTED, libc::ENFILE, libc::EINTR]),
+    (SystemCall::Connect, &[libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::EINTR]),
+    (SystemCall::Socket, &[libc::ENFILE, libc::ENOBUFS]),
+    (SystemCall::TcpRead, &[libc::EINTR, SystemCall::SHORT]),
+    (SystemCall::TcpWrite, &[libc::EINTR, SystemCall::SHORT]),
+    (SystemCall::UnixRead, &[libc::EINTR]),
+    (SystemCall::UnixWrite, &[libc::EINTR]),
+    (SystemCall::EpollWait, &[libc::EINTR]),
+    (SystemCall::StateWrite, &[libc::EINTR, SystemCall::SHORT]),
+];
+const EVERYWHERE_PART: f64 = 0.1;
+
 /// The window for repeats of the class `brief`.
 pub const BRIEF_WINDOW: Duration = Duration::from_millis(400);
 
@@ -153,7 +169,7 @@
             serve(listener, move |stream| serve_calls(number, stream, &send));
         }
         let discovery = Agent::start(&send).unwrap();
-        World {
+        let mut world = World {
             _cleanup: Cleanup(folder.clone()),
             folder,
             endpoints: addresses,
@@ -177,7 +193,14 @@
             disk_mb,
             faults: None,
             fault_seed: Cell::new(0),
+        };
+        if let Some(seed) = std::env::var(EVERYWHERE_VARIABLE).ok().and_then(|seed| seed.parse().ok()) {
+            world.faults = Some(world.new_faults(seed));
+            for (call, errors) in EVERYWHERE {
+                world.fail(call, Fault::always(errors).part(EVERYWHERE_PART));
+            }
         }
+        world
     }
 
     /// A world whose couriers' system calls can be let fail, and in which the module waits long before it gives
