--- a/fault-shim/lib.rs
+++ b/fault-shim/lib.rs
@@ -72,16 +72,13 @@
 fn fault(call: Call) -> Option<i32> {
     let page = page()?;
     let at = call.entry();
-    let (rate, budget, skipped) = (word(page, at), word(page, at + 1), word(page, at + 2));
-    let number = word(page, at + 3).fetch_add(1, Ordering::SeqCst);
+    let (rate, budget) = (word(page, at), word(page, at + 1));
+    let number = word(page, at + 2).fetch_add(1, Ordering::SeqCst);
     let drawn = chance(seed(page), (call as u64) << 32 | u64::from(number));
     if drawn as u32 & 0xFFFF >= rate.load(Ordering::SeqCst) {
         return None;
     }
     let one_less = |left: u32| left.checked_sub(1);
-    if skipped.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_less).is_ok() {
-        return None;
-    }
     if budget.load(Ordering::SeqCst) != UNLIMITED
         && budget.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_less).is_err()
     {
@@ -91,7 +88,7 @@
         (0..ERRORS).map(|place| word(page, at + ENTRY_WORDS - ERRORS + place).load(Ordering::SeqCst));
     let errors: Vec<i32> = errors.map(|word| word as i32).filter(|error| *error != 0).collect();
     let error = *errors.get((drawn >> 32) as usize % errors.len().max(1))?;
-    word(page, at + 4).fetch_add(1, Ordering::SeqCst);
+    word(page, at + 3).fetch_add(1, Ordering::SeqCst);
     Some(error)
 }
 
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -23,6 +23,7 @@
 use crate::notices::Notice;
 use crate::past::Past;
 use crate::seldom::Seldom;
+use crate::send_guard::{Attempt, Breach, Receiver, SendGuard};
 use crate::wire::Descriptor;
 
 /// Events that one decision takes in at most.
@@ -211,6 +212,9 @@
     wait_lines: Seldom,
     /// Final outcomes whose records could not be written yet, and until when each may stay untold.
     untold: Vec<(Notice, Instant)>,
+    /// Looks at each attempt once more before it is made.
+    guard: SendGuard,
+    breach_lines: Seldom,
     /// When it is next tried to write what could not be written.
     settle_at: Option<Instant>,
 }
@@ -231,6 +235,7 @@
         let idle = (IDLE_OF_SLOTS * settings.call_slots)
             .min(endpoint_sockets.saturating_sub(settings.call_slots))
             .max(1);
+        let guard = SendGuard::new(&settings);
         let clock = Clock::new(journal.image.clock.as_ref());
         if !journal.image.clock.as_ref().is_some_and(|last| clock.continues(last)) {
             // Where it cannot be written now it is written later; its errors are those of the next records.
@@ -266,6 +271,8 @@
             outage_lines: Seldom::default(),
             wait_lines: Seldom::default(),
             untold: Vec::new(),
+            guard,
+            breach_lines: Seldom::default(),
             settle_at: None,
         }
     }
@@ -836,6 +843,9 @@
 
     fn told_to_wait(&mut self, endpoint: EndpointId, wait: Duration) {
         let destination = self.directory.destination(endpoint);
+        if let Some(to) = self.receiver(endpoint) {
+            self.guard.told_to_wait(self.clock.now(), &to, wait);
+        }
         if let Some(more) = self.wait_lines.due() {
             info!(?destination, ?wait, more, "told to wait");
         }
@@ -851,7 +861,10 @@
             self.counts.delivered += u32::from(ended.outcome == Outcome::Ok);
             self.over(message);
         } else {
-            let written = self.journal.outcome(message.0, !ended.outcome.never_ran());
+            let written = match ended.outcome {
+                Outcome::NotMade => self.journal.not_made(message.0),
+                outcome => self.journal.outcome(message.0, !outcome.never_ran()),
+            };
             self.note(written);
         }
         self.courier.handle(
@@ -954,6 +967,10 @@
                 idempotency_key: held.taken.idempotency_key.clone(),
                 body: held.taken.body.clone(),
             });
+            if let Err(breach) = self.may_send(now, message, endpoint) {
+                self.forbid(message, endpoint, breach);
+                continue;
+            }
             // An attempt that the next process would not know of is not made.
             let written = self.journal.start(message.0, (self.clock.to_journal(now), zone));
             let is_written = written.is_ok();
@@ -974,6 +991,52 @@
         }
     }
 
+    /// Whether an attempt may be made, by the rules alone; what the journal does not hold is seen to elsewhere.
+    fn may_send(&mut self, now: Time, message: MessageId, endpoint: EndpointId) -> Result<(), Breach> {
+        let Some(held) = self.journal.image.held.get(&message.0) else { return Ok(()) };
+        let Some((class, to)) = self.class(&held.taken.class).zip(self.receiver(endpoint)) else {
+            return Ok(());
+        };
+        let class = &self.classes[usize::from(class.0)];
+        let deadline = self.clock.of_journal(held.taken.deadline_ms);
+        // One of a courier that died may have run there at any time since it was handed in.
+        let again = held.taken.again && class.effect == Effect::Keyed;
+        let elsewhere = again.then(|| (deadline - class.deadline, to.zone));
+        let first = held.maybe_ran.or(held.out).map(|(ms, zone)| (self.clock.of_journal(ms), ZoneId(zone)));
+        let attempt = Attempt {
+            class,
+            already_out: self.out.contains_key(&message),
+            ended: held.verdict.is_some(),
+            deadline,
+            attempts: held.attempts,
+            may_have_run: elsewhere.or(first),
+            to,
+        };
+        self.guard.check(now, &attempt)
+    }
+
+    fn receiver(&self, endpoint: EndpointId) -> Option<Receiver> {
+        Some(Receiver {
+            endpoint,
+            destination: self.directory.destination(endpoint)?,
+            zone: self.directory.zone(endpoint),
+            is_open: self.directory.is_open(endpoint),
+            is_apart: self.directory.is_apart(endpoint),
+        })
+    }
+
+    /// Does not make an attempt that would break a rule.
+    fn forbid(&mut self, message: MessageId, endpoint: EndpointId, breach: Breach) {
+        if let Some(more) = self.breach_lines.due() {
+            let id = self.journal.image.held.get(&message.0).map(|held| &held.taken.id);
+            error!(?id, endpoint = endpoint.0, %breach, more, "a rule would have been broken: not sent");
+        }
+        // One that is out has its outcome still to come.
+        if breach != Breach::AlreadyOut {
+            self.not_made(message, endpoint, TOO_LATE);
+        }
+    }
+
     fn not_made(&mut self, message: MessageId, endpoint: EndpointId, ended: Ended) {
         let call = CallOut { stop: Cell::default(), sent: Rc::default(), _elsewhere: None };
         self.take_out(message, endpoint, &Rc::new(call));
@@ -1101,7 +1164,21 @@
             std::mem::take(&mut self.counts);
         let (held, out) = (self.journal.image.held.len(), self.out.len());
         let connections = self.pool.take_used();
-        info!(taken, busy, delivered, failed, returned, calls, held, out, ?latest, ?connections, "load");
+        let forbidden = self.guard.take_breaches();
+        info!(
+            taken,
+            busy,
+            delivered,
+            failed,
+            returned,
+            calls,
+            held,
+            out,
+            ?latest,
+            ?connections,
+            forbidden,
+            "load"
+        );
         if let Some((to, waiting, routes)) = self.courier.longest_queue(self.clock.now()) {
             info!(destination = to.0, waiting, ?routes, "the longest queue");
         }
--- a/src/bin/gullcart/journal/mod.rs
+++ b/src/bin/gullcart/journal/mod.rs
@@ -172,7 +172,12 @@
 
     /// The attempt that was out has ended.
     pub fn outcome(&mut self, number: u32, may_have_run: bool) -> Result<(), JournalError> {
-        self.tell(Record::Outcome(number, may_have_run))
+        self.tell_of_attempt(Record::Outcome(number, may_have_run), number)
+    }
+
+    /// The attempt that was out was not made after all, and is none of those that the message has.
+    pub fn not_made(&mut self, number: u32) -> Result<(), JournalError> {
+        self.tell_of_attempt(Record::NotMade(number), number)
     }
 
     /// A message has its final outcome, which nobody has been told yet.
@@ -245,6 +250,16 @@
         written
     }
 
+    /// The same of the attempt that is out; one that could not be written down never was.
+    fn tell_of_attempt(&mut self, record: Record, number: u32) -> Result<(), JournalError> {
+        let is_out = self.image.held.get(&number).is_some_and(|held| held.out.is_some());
+        if is_out {
+            self.tell(record)
+        } else {
+            Ok(())
+        }
+    }
+
     /// Writes at a place of its own keeping: what a failed write left behind is written over by the next one.
     fn write(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
         let more = bytes.len() as u64;
--- a/src/bin/gullcart/journal/record.rs
+++ b/src/bin/gullcart/journal/record.rs
@@ -126,6 +126,8 @@
     /// One of some parts that are the list together: its place from 0, and how many there are. Nothing of them counts
     /// until the last one is there.
     TargetsPart(u32, u32, Update),
+    /// The attempt that was begun last was not made, for want of something on the courier's own machine.
+    NotMade(u32),
     /// How journal time goes on. A journal without one, of an older build, counts in wall time.
     Clock(ClockReading),
 }
@@ -215,6 +217,12 @@
                     held.maybe_ran = held.maybe_ran.or(sent);
                 }
             }
+            Record::NotMade(number) => {
+                if let Some(held) = self.held.get_mut(&number).filter(|held| held.out.is_some()) {
+                    held.attempts = held.attempts.saturating_sub(1);
+                    held.out = None;
+                }
+            }
             Record::Owe(number, verdict) => {
                 if let Some(held) = self.held.get_mut(&number) {
                     held.verdict = Some(verdict);
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -10,6 +10,7 @@
 mod notices;
 mod past;
 mod seldom;
+mod send_guard;
 mod signals;
 mod wire;
 
--- a/src/bin/lab/fault_page.rs
+++ b/src/bin/lab/fault_page.rs
@@ -20,8 +20,8 @@
 
 /// Words (of 4 bytes) before the entries: the seed (two) and the offset of the wall clock in milliseconds (two).
 pub const HEADER_WORDS: usize = 4;
-/// Words of one entry: rate, budget, skipped, calls, hits, and the errors.
-pub const ENTRY_WORDS: usize = 5 + ERRORS;
+/// Words of one entry: rate, budget, calls, hits, and the errors.
+pub const ENTRY_WORDS: usize = 4 + ERRORS;
 
 /// System calls that can fail, told apart by what they are made on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -116,8 +116,6 @@
     pub rate: u32,
     /// Calls that fail at most, or [`UNLIMITED`].
     pub budget: u32,
-    /// Calls that are let through first.
-    pub skipped: u32,
     /// Error numbers, or [`Call::SHORT`] or [`Call::TORN`]; unused places hold 0.
     pub errors: [i32; ERRORS],
 }
@@ -127,7 +125,7 @@
     pub fn always(errors: &[i32]) -> Self {
         let mut padded = [0; ERRORS];
         padded.iter_mut().zip(errors).for_each(|(place, error)| *place = *error);
-        Fault { rate: ALWAYS, budget: UNLIMITED, skipped: 0, errors: padded }
+        Fault { rate: ALWAYS, budget: UNLIMITED, errors: padded }
     }
 
     /// Fails this part of the calls.
@@ -139,11 +137,6 @@
     pub fn times(self, budget: u32) -> Self {
         Fault { budget, ..self }
     }
-
-    /// Lets so many calls through first.
-    pub fn after(self, skipped: u32) -> Self {
-        Fault { skipped, ..self }
-    }
 }
 
 /// What the shim has counted of one call.
@@ -175,8 +168,8 @@
         let at = 4 * call.entry() as u64;
         let errors: Vec<u8> = fault.errors.iter().flat_map(|error| error.to_le_bytes()).collect();
         // The rate goes last: what it sets off is complete by then.
-        self.0.write_all_at(&errors, at + 20)?;
-        self.0.write_all_at(&[fault.budget.to_le_bytes(), fault.skipped.to_le_bytes()].concat(), at + 4)?;
+        self.0.write_all_at(&errors, at + 16)?;
+        self.0.write_all_at(&fault.budget.to_le_bytes(), at + 4)?;
         self.0.write_all_at(&fault.rate.to_le_bytes(), at)
     }
 
@@ -188,7 +181,7 @@
     /// What was counted since the page was made.
     pub fn counted(&self, call: Call) -> io::Result<Counted> {
         let mut words = [0; 8];
-        self.0.read_exact_at(&mut words, 4 * call.entry() as u64 + 12)?;
+        self.0.read_exact_at(&mut words, 4 * call.entry() as u64 + 8)?;
         let [a, b, c, d, e, f, g, h] = words;
         Ok(Counted { calls: u32::from_le_bytes([a, b, c, d]), hits: u32::from_le_bytes([e, f, g, h]) })
     }
--- a/src/bin/lab/main.rs
+++ b/src/bin/lab/main.rs
@@ -6,12 +6,16 @@
 
 mod bounds;
 mod experiment;
+// The tests use more of it.
+#[allow(dead_code)]
+mod fault_page;
 mod fit;
 mod hollow;
 mod measure;
 mod module;
 mod report;
 mod restart;
+mod soak;
 // The tests use more of them.
 #[allow(dead_code)]
 mod stand_ins;
@@ -24,8 +28,9 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 use tracing::level_filters::LevelFilter;
 use tracing::{error, warn};
@@ -63,6 +68,30 @@
         #[arg(long, value_name = "FILE")]
         courier: Option<PathBuf>,
     },
+    /// Plays real couriers among troubles, one soak for each seed, and tells which rules were broken.
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Soaks, each with the next seed.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Couriers that live at a time.
+        #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u16).range(1..=100))]
+        couriers: u16,
+        /// Length of each soak, in seconds.
+        #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(1..=3600))]
+        seconds: u64,
+        /// The courier's binary; the one beside this if absent.
+        #[arg(long, value_name = "FILE")]
+        courier: Option<PathBuf>,
+        /// The shim that lets system calls fail; the one that `cargo build --examples` puts beside this if absent.
+        #[arg(long, value_name = "FILE")]
+        shim: Option<PathBuf>,
+        /// Where the logs of couriers go if a rule was broken.
+        #[arg(long, value_name = "FOLDER")]
+        logs: Option<PathBuf>,
+    },
 }
 
 #[derive(Debug, Error)]
@@ -77,6 +106,12 @@
     Signals(std::io::Error),
     #[error("interrupted")]
     Interrupted,
+    #[error("the soak cannot be played: {0}")]
+    Soak(std::io::Error),
+    #[error("{0} is missing; cargo build --release --examples makes it")]
+    Missing(PathBuf),
+    #[error("{0} rules were broken")]
+    Broken(usize),
 }
 
 /// Tells a flag of the first SIGINT or SIGTERM.
@@ -130,14 +165,52 @@
     Ok(())
 }
 
+/// Plays the soaks of some seeds, one after the other; each tells its figures.
+fn soak(plan: soak::Plan, seeds: u64) -> Result<(), LabError> {
+    for file in [&plan.courier, &plan.shim] {
+        if !file.is_file() {
+            return Err(LabError::Missing(file.clone()));
+        }
+    }
+    let interrupted = heed_signals()?;
+    let mut broken = 0;
+    for seed in plan.seed..plan.seed.saturating_add(seeds) {
+        if interrupted.load(Ordering::SeqCst) {
+            return Err(LabError::Interrupted);
+        }
+        let verdict = soak::run(&Arc::new(soak::Plan { seed, ..plan.clone() })).map_err(LabError::Soak)?;
+        print!("{}", verdict.report);
+        broken += verdict.broken;
+    }
+    if broken == 0 {
+        Ok(())
+    } else {
+        Err(LabError::Broken(broken))
+    }
+}
+
 fn main() -> ExitCode {
     // Thousands of watches that break and are begun again say so elsewhere: they are counted.
     let levels =
         Targets::new().with_default(LevelFilter::INFO).with_target("cloverstile", LevelFilter::ERROR);
     let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
     lines.finish().with(levels).init();
-    let Verb::Scale { file, only, json, courier } = Arguments::parse().verb;
-    match scale(file, &only, json, courier) {
+    let played = match Arguments::parse().verb {
+        Verb::Scale { file, only, json, courier } => scale(file, &only, json, courier),
+        Verb::Soak { seed, seeds, couriers, seconds, courier, shim, logs } => {
+            let beside = |name: &str| std::env::current_exe().unwrap_or_default().with_file_name(name);
+            let plan = soak::Plan {
+                seed,
+                couriers: couriers.into(),
+                length: Duration::from_secs(seconds),
+                courier: courier.unwrap_or_else(|| beside("gullcart")),
+                shim: shim.unwrap_or_else(|| beside("examples").join("libfault_shim.so")),
+                logs,
+            };
+            soak(plan, seeds)
+        }
+    };
+    match played {
         Ok(()) => ExitCode::SUCCESS,
         Err(LabError::Interrupted) => ExitCode::from(INTERRUPTED),
         Err(error) => {
--- a/src/bin/lab/stand_ins.rs
+++ b/src/bin/lab/stand_ins.rs
@@ -364,6 +364,11 @@
         locked(&self.log.lines).iter().any(|line| line.contains(words))
     }
 
+    /// All lines of the log so far.
+    pub fn lines(&self) -> Vec<String> {
+        locked(&self.log.lines).clone()
+    }
+
     /// A figure of the process's status, in the unit that it has there.
     pub fn figure(&self, name: &str) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
--- a/src/list/directory.rs
+++ b/src/list/directory.rs
@@ -59,6 +59,8 @@
     kinds: Vec<String>,
     /// Messages in one call at most, by kind.
     batches: Vec<usize>,
+    /// Whether a destination's endpoints have each their own limits and waits, by kind.
+    apart: Vec<bool>,
     last: u32,
     numbers: HashMap<String, EndpointId>,
     entries: BTreeMap<EndpointId, Entry>,
@@ -75,6 +77,7 @@
     address: Option<SocketAddr>,
     mode: Mode,
     batch: usize,
+    is_apart: bool,
 }
 
 impl Directory {
@@ -83,6 +86,7 @@
         Directory {
             zones: parsed.zone_names.clone(),
             kinds: parsed.kind_names.clone(),
+            apart: parsed.settings.kinds.iter().map(|kind| kind.own_limits).collect(),
             batches: parsed.settings.kinds.iter().map(|kind| kind.batch.max(1)).collect(),
             last: 0,
             numbers: HashMap::new(),
@@ -125,6 +129,11 @@
         self.entries.get(&id).map_or(1, |entry| entry.batch)
     }
 
+    /// Whether its limits and waits are its own, and not its whole destination's.
+    pub fn is_apart(&self, id: EndpointId) -> bool {
+        self.entries.get(&id).is_some_and(|entry| entry.is_apart)
+    }
+
     /// The destination that it belongs to.
     pub fn destination(&self, id: EndpointId) -> Option<DestinationId> {
         self.entries.get(&id).map(|entry| entry.destination)
@@ -229,11 +238,12 @@
         let kind = KindId(place(&mut self.kinds, &target.model).into());
         let (uid, destination) = (target.uid.clone(), DestinationId(target.pod_group));
         let batch = self.batches.get(usize::from(kind.0)).copied().unwrap_or(1);
+        let is_apart = self.apart.get(usize::from(kind.0)).copied().unwrap_or_default();
         match mode {
             Mode::Gone => drop(self.unlisted.insert(id, uid.clone())),
             Mode::Ready | Mode::Draining => drop(self.unlisted.remove(&id)),
         }
-        self.entries.insert(id, Entry { uid, zone, destination, address, mode, batch });
+        self.entries.insert(id, Entry { uid, zone, destination, address, mode, batch, is_apart });
         Endpoint { id, zone, kind, destination, mode, weight: target.capacity_hint }
     }
 }
