Offer the hand-over again where its socket could not be made at once; soak hand-overs too

Change: the socket is tried again each second; a message is refused, not failed, while a failed write cannot be cut off, as nothing of it was written; the log's level is set by GULLCART_LOG, and debug tells each step of each message and the reason of each close.

--- a/src/bin/gullcart/clients.rs
+++ b/src/bin/gullcart/clients.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc::UnboundedSender, oneshot, watch, Notify, Semaphore, SemaphorePermit};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
-use tracing::warn;
+use tracing::{debug, warn};
 
 use crate::driver::{Input, Phase};
 use crate::journal::Taken;
@@ -183,7 +183,13 @@
             place: self.places.clone().enter(),
         };
         // A connection that breaks is its client's affair: what was taken on stays so.
-        tokio::task::spawn_local(async move { drop(client.run(Instant::now() + left).await) });
+        let number = client.place.number;
+        tokio::task::spawn_local(async move {
+            match client.run(Instant::now() + left).await {
+                Ok(()) => debug!(number, "a client's connection has ended"),
+                Err(error) => debug!(number, %error, "a client's connection broke"),
+            }
+        });
     }
 
     /// Waits until all connections have moved that can.
@@ -449,6 +455,7 @@
                     return come;
                 }
             }
+            self.tell_of_end("the courier ends or is emptied");
             return self.read_now().await;
         }
         let give_way = self.place.give_way.clone();
@@ -458,6 +465,7 @@
                 // Room is made only when there is something to read: idle connections hold none.
                 ready = self.stream.readable() => ready?,
                 () = give_way.notified() => {
+                    self.tell_of_end("another connection needs its place");
                     let come = self.read_now().await?;
                     match come {
                         // Of a request that has begun, the rest may be on its way: it is owed a word.
@@ -468,6 +476,7 @@
                     return Ok(come);
                 }
                 () = tokio::time::sleep_until(due) => {
+                    self.tell_of_end("nothing has come for too long");
                     return if between { self.read_now().await } else { Ok(Come::Late) };
                 }
                 // Looked at anew by the caller: what has come meanwhile is read first.
@@ -479,6 +488,17 @@
         }
     }
 
+    /// Why a connection is about to be closed; what has come by then is still served.
+    fn tell_of_end(&self, reason: &str) {
+        debug!(
+            number = self.place.number,
+            served = self.served,
+            unread = self.buffer.len(),
+            reason,
+            "to be closed"
+        );
+    }
+
     /// Waits for what comes next.
     async fn read_ready(&mut self) -> io::Result<Come> {
         loop {
@@ -592,6 +612,7 @@
     /// Tells the client its error and closes: ends the sending side, and reads what is still being sent until
     /// the client closes too, so that the error arrives.
     async fn refuse(mut self, error: &str) -> io::Result<()> {
+        debug!(number = self.place.number, served = self.served, error, "a client is told its error");
         self.place.set(Doing::Refused);
         self.buffer = BytesMut::new();
         self.out.extend_from_slice(format!("-ERR {error}\r\n").as_bytes());
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{interval, sleep_until, timeout, timeout_at, Instant};
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 use crate::admin::{Done, Operation};
 use crate::calls::{Call, CallEnded, Ended, Load, Pool, Stop};
@@ -645,7 +645,9 @@
         let now = self.clock.now();
         match input {
             Input::Enqueue(enqueue, reply) => {
+                let id = enqueue.id.clone();
                 let answer = self.enqueue(now, enqueue);
+                debug!(id, ?answer, "a message was handed in");
                 if let Err(Answer::Taken(message)) = reply.send(answer) {
                     self.unheard(now, message);
                 }
@@ -657,6 +659,7 @@
             Input::Ended(endpoint, messages, ended) => self.call_ended(now, endpoint, &messages, &ended),
             Input::Heard(messages) => {
                 for message in messages {
+                    debug!(number = message.0, "a notice was answered");
                     self.over(message);
                     self.courier.handle(now, Event::Heard(message));
                 }
@@ -773,8 +776,9 @@
                 Answer::Taken(MessageId(number))
             }
             Err(error) => {
+                let is_written = !matches!(error, JournalError::Unclean) && self.journal.tail_is_unclean();
                 self.note(Err(error));
-                if self.journal.tail_is_unclean() {
+                if is_written {
                     // The next process may find it accepted: who is refused would hand it in again.
                     return Answer::Error("the disk fails");
                 }
@@ -854,6 +858,17 @@
 
     fn ended(&mut self, now: Time, message: MessageId, endpoint: EndpointId, ended: Ended) {
         let Some(out) = self.out.remove(&message) else { return };
+        if let Some(held) = self.journal.image.held.get(&message.0) {
+            let (id, outcome, latency) = (&held.taken.id, ended.outcome, ended.latency);
+            debug!(
+                id,
+                attempt = out.attempt,
+                endpoint = endpoint.0,
+                ?outcome,
+                ?latency,
+                "an attempt has ended"
+            );
+        }
         if let Outcome::Full(Some(wait)) = ended.outcome {
             self.told_to_wait(endpoint, wait);
         }
@@ -1059,6 +1074,9 @@
         let loads: Vec<Load> = carried.into_iter().map(|(load, _)| load).collect();
         loads.iter().for_each(|load| self.take_out(load.message, endpoint, &out));
         self.counts.calls += 1;
+        for load in &loads {
+            debug!(id = load.id, endpoint = endpoint.0, ?try_for, shared = loads.len(), "an attempt begins");
+        }
         let mut call = Call { endpoint, address, loads, try_for };
         let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
@@ -1079,6 +1097,7 @@
         let is_written = written.is_ok();
         self.note(written);
         let Some(held) = self.journal.image.held.get(&message.0) else { return };
+        debug!(id = held.taken.id, ?verdict, is_written, "a message has its final outcome");
         let notice = Notice { message, id: held.taken.id.clone(), verdict };
         if is_written {
             let _ = self.notices.send(notice);
--- a/src/bin/gullcart/handover.rs
+++ b/src/bin/gullcart/handover.rs
@@ -10,7 +10,7 @@
 };
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, IoSlice, IoSliceMut};
@@ -49,6 +49,8 @@
 pub const FINISH: Duration = Duration::from_millis(2500);
 /// Between tries to become the owner.
 const AGAIN: Duration = Duration::from_millis(20);
+/// Between tries to make the socket at which other processes ask.
+const OFFER_AGAIN: Duration = Duration::from_secs(1);
 /// From the end of a process until its calls are taken for broken: all its connections are closed by then.
 const GONE: Duration = Duration::from_millis(50);
 /// What still goes over the socket when the old process ends.
@@ -377,7 +379,10 @@
 // ---- The old process ----
 
 /// Where another process may ask for the courier.
-pub struct Offer(Option<UnixListener>);
+pub struct Offer {
+    path: PathBuf,
+    listener: OnceCell<UnixListener>,
+}
 
 /// Another process that wants the courier.
 pub struct Next {
@@ -396,21 +401,37 @@
 }
 
 impl Offer {
-    /// A courier that cannot be asked serves all the same.
+    /// A courier that cannot be asked serves all the same; it is tried again.
     pub fn new(path: &Path) -> Self {
-        let listen = || {
-            match fs::remove_file(path) {
-                Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
-                _ => {}
+        let offer = Offer { path: path.to_owned(), listener: OnceCell::new() };
+        if let Err(error) = offer.listen() {
+            warn!(%error, ?path, "no hand-over is possible");
+        }
+        offer
+    }
+
+    fn listen(&self) -> io::Result<()> {
+        match fs::remove_file(&self.path) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+            _ => {}
+        }
+        let _ = self.listener.set(UnixListener::bind(&self.path)?);
+        Ok(())
+    }
+
+    async fn listener(&self) -> &UnixListener {
+        loop {
+            if let Some(listener) = self.listener.get() {
+                return listener;
             }
-            UnixListener::bind(path)
-        };
-        Offer(listen().inspect_err(|error| warn!(%error, ?path, "no hand-over is possible")).ok())
+            sleep(OFFER_AGAIN).await;
+            let _ = self.listen();
+        }
     }
 
     /// Waits for a process that wants the courier.
     pub async fn asked(&self, memory: u32) -> Next {
-        let Some(listener) = &self.0 else { return std::future::pending().await };
+        let listener = self.listener().await;
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 sleep(AGAIN).await;
--- a/src/bin/gullcart/journal/frame.rs
+++ b/src/bin/gullcart/journal/frame.rs
@@ -9,7 +9,7 @@
 use super::JournalError;
 
 /// Length and checksum before each record.
-const FRAME: usize = 8;
+pub const FRAME: usize = 8;
 /// A longer record is damage.
 const LONGEST: usize = 4 << 20;
 /// What may have any number of entries is written in records of about this size.
--- a/src/bin/gullcart/journal/mod.rs
+++ b/src/bin/gullcart/journal/mod.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
-use frame::{frame, list_records, pieces, read_record};
+use frame::{frame, list_records, pieces, read_record, FRAME};
 use record::{Image, Record};
 
 pub use record::{ClockReading, Held, OutageChange, OutageKey, OutageNote, Sent, Taken, Verdict};
@@ -32,6 +32,8 @@
 const HARD_PART: f64 = 0.95;
 /// Room kept for the later records of each live message.
 const PER_MESSAGE: u64 = 128;
+/// In the place of a record's length and checksum: there is none, and nothing behind it counts.
+const NO_RECORD: [u8; FRAME] = [0; FRAME];
 /// After a compaction that failed, none is tried for so long.
 const COMPACT_AGAIN: Duration = Duration::from_secs(1);
 
@@ -45,6 +47,9 @@
     Long,
     #[error("the journal is full")]
     Full,
+    /// Nothing was written.
+    #[error("what a failed write has left behind cannot be cut off yet")]
+    Unclean,
 }
 
 pub struct Journal {
@@ -99,7 +104,9 @@
             copy_left: 0,
             compaction_failed: None,
         };
-        journal.clean_tail();
+        if journal.tail_unclean {
+            journal.clean_tail();
+        }
         journal.remove_copy();
         Ok(journal)
     }
@@ -150,6 +157,12 @@
 
     /// Takes a message on and gives it its number; after this it outlasts the process.
     pub fn take(&mut self, taken: Taken) -> Result<u32, JournalError> {
+        if self.tail_unclean {
+            self.clean_tail();
+        }
+        if self.tail_unclean {
+            return Err(JournalError::Unclean);
+        }
         let number = self.image.last + 1;
         let more = taken_cost(&taken);
         if self.live + more > self.part(LIVE_PART) {
@@ -283,9 +296,11 @@
         Ok(())
     }
 
-    /// Cuts off what may lie behind the end. It is tried again where that fails.
+    /// Cuts off what may lie behind the end, or at least ends the records there. It is tried again where that fails.
     fn clean_tail(&mut self) {
-        self.tail_unclean = self.tail_unclean && self.file.set_len(self.size).is_err();
+        let cleaned =
+            self.file.set_len(self.size).is_ok() || self.file.write_all_at(&NO_RECORD, self.size).is_ok();
+        self.tail_unclean = self.tail_unclean && !cleaned;
     }
 
     /// Removes a compacted copy that did not come into the file's place.
--- a/src/bin/lab/soak/ledger.rs
+++ b/src/bin/lab/soak/ledger.rs
@@ -43,13 +43,14 @@
 struct Attempt {
     began: Instant,
     fate: Fate,
-    connection: TcpStream,
+    /// The endpoint's side, until its answer.
+    connection: Option<TcpStream>,
 }
 
 impl Attempt {
     /// Whether the courier still has it out: its connection is open and it was not answered.
     fn is_out(&self) -> bool {
-        self.fate == Fate::Open && is_open(&self.connection)
+        self.fate == Fate::Open && self.connection.as_ref().is_some_and(is_open)
     }
 }
 
@@ -201,7 +202,7 @@
             broken.push("after its time".to_owned());
         }
         let courier = message.courier;
-        message.attempts.push(Attempt { began: now, fate: Fate::Open, connection });
+        message.attempts.push(Attempt { began: now, fate: Fate::Open, connection: Some(connection) });
         if let Some(told) = self.drained.get(&(courier, endpoint)) {
             if now > *told + TOLD + STOP_SENDING + NOISE {
                 broken.push(format!("to endpoint {endpoint}, {:?} after it was to drain", now - *told));
@@ -222,6 +223,7 @@
         if let Some(message) = self.messages.get_mut(id) {
             if let Some(attempt) = message.attempts.last_mut() {
                 attempt.fate = fate;
+                attempt.connection = None;
             }
             if fate == Fate::Delivered && message.delivered.is_none() {
                 message.delivered = Some(Instant::now());
--- a/src/bin/lab/soak/mod.rs
+++ b/src/bin/lab/soak/mod.rs
@@ -95,8 +95,7 @@
     fn start(&mut self, plan: &Plan, endpoints: &[Endpoint]) -> io::Result<()> {
         self.configure(endpoints)?;
         let started = Instant::now();
-        let variables = [("LD_PRELOAD", plan.shim.clone()), (PAGE_VARIABLE, self.folder.join("faults"))];
-        let process = Process::start_with(&plan.courier, &self.folder, &variables)?;
+        let process = Process::start_with(&plan.courier, &self.folder, &self.variables(plan))?;
         let listening = process.log_times(" listening ", 1, READY);
         let address = listening.ok().and_then(|line| address_in(&line));
         self.process = Some(process);
@@ -185,6 +184,29 @@
         self.start(plan, endpoints)
     }
 
+    /// Puts another process in this one's place while it serves; nobody may notice.
+    fn replace(&mut self, plan: &Plan) -> io::Result<()> {
+        let next = Process::start_with(&plan.courier, &self.folder, &self.variables(plan))?;
+        if next.log_times(" listening ", 1, READY).is_err() {
+            locked(&self.ledger).breach(format!("courier {} was not handed over", self.number));
+        }
+        self.signal(Signal::TERM);
+        let end = Instant::now() + TERM_TO_KILL;
+        while !self.has_ended() && Instant::now() < end {
+            thread::sleep(Duration::from_millis(10));
+        }
+        self.keep_log();
+        self.process = Some(next);
+        locked(&self.ledger).count("hand-overs");
+        Ok(())
+    }
+
+    fn variables(&self, plan: &Plan) -> Vec<(&'static str, PathBuf)> {
+        let page = (PAGE_VARIABLE, self.folder.join("faults"));
+        let level = ("GULLCART_LOG", PathBuf::from("debug"));
+        vec![("LD_PRELOAD", plan.shim.clone()), page, level]
+    }
+
     fn keep_log(&mut self) {
         if let Some(process) = &self.process {
             self.logs.extend(process.lines());
@@ -236,7 +258,8 @@
         endpoints: &[Endpoint],
         chance: &mut fastrand::Rng,
     ) -> io::Result<()> {
-        match chance.u8(..8) {
+        match chance.u8(..9) {
+            8 => self.replace(plan)?,
             0 => self.restart(plan, endpoints, true)?,
             1 => self.restart(plan, endpoints, false)?,
             2 => self.move_discovery(endpoints)?,
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -280,3 +280,16 @@
     assert_eq!(client.enqueue("one", "9", "notice,k=a", 1, b"1"), "+OK");
     assert_eq!(world.call().id, "one");
 }
+
+/// A courier that could not offer itself at first does so as soon as it can.
+#[test]
+fn a_hand_over_is_possible_as_soon_as_its_socket_can_be_made() {
+    let world = World::new(1, 3.0);
+    let stopped = world.start().kill();
+    world.refuse_unix_sockets();
+    let old = stopped.restart();
+    old.log_until("no hand-over is possible");
+    world.permit_unix_sockets();
+    let new = world.start_beside().listening();
+    assert!(new.has_logged("the courier was handed over"));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -325,6 +325,16 @@
         }
     }
 
+    /// Lets the next one bind it after all.
+    pub fn permit_unix_sockets(&self) {
+        for entry in std::fs::read_dir(self.folder.join("tmp")).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                std::fs::remove_dir(path).unwrap();
+            }
+        }
+    }
+
     /// Starts a process that may have to wait for another one.
     pub fn start_beside(&self) -> Courier<'_> {
         self.configure(&self.discovery);
