--- a/src/bin/lab/stand_ins.rs
+++ b/src/bin/lab/stand_ins.rs
@@ -320,12 +320,22 @@
 
     /// Starts it with further variables in its environment.
     pub fn start_with(binary: &Path, folder: &Path, variables: &[(&str, PathBuf)]) -> io::Result<Self> {
+        Process::start_logging_to(binary, folder, variables, Stdio::piped())
+    }
+
+    /// Starts it with its log elsewhere; only one that is piped here is read.
+    pub fn start_logging_to(
+        binary: &Path,
+        folder: &Path,
+        variables: &[(&str, PathBuf)],
+        log: Stdio,
+    ) -> io::Result<Self> {
         let mut child = Command::new(binary)
             .envs(variables.iter().map(|(name, value)| (name, value)))
             .env("BALANCER_STATE", folder.join("state"))
             .env("TMPDIR", folder.join("tmp"))
             .env("BALANCER_CONFIG", folder.join("config.json"))
-            .stderr(Stdio::piped())
+            .stderr(log)
             .spawn()?;
         let log = Arc::new(Log::default());
         if let Some(errors) = child.stderr.take() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,7 +14,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Command, ExitStatus};
+use std::process::{Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
@@ -341,6 +341,23 @@
         Courier::start(self)
     }
 
+    /// Starts a courier whose log goes elsewhere, at an address that the world has told.
+    pub fn start_logging_to(&self, log: Stdio) -> Courier<'_> {
+        let (_socket, address) = bound();
+        drop(_socket);
+        self.listen.set(address);
+        self.configure(&self.discovery);
+        let binary = Path::new(env!("CARGO_BIN_EXE_gullcart"));
+        let process = Process::start_logging_to(binary, &self.folder, &self.fault_variables(), log).unwrap();
+        let courier = Courier { world: self, process, address, admin: address };
+        let end = Instant::now() + PATIENCE;
+        while courier.try_client(PATIENCE).is_err() {
+            assert!(Instant::now() < end, "the courier never listens");
+            thread::sleep(Duration::from_millis(5));
+        }
+        courier
+    }
+
     /// Another agent, which knows that an endpoint drains.
     pub fn agent_with_drain(&self, endpoint: usize) -> Agent {
         let agent = Agent::start(&self.send).unwrap();
