Lose a log line rather than the courier where it cannot be written

Cause: a line that could not be written (full disk, reader gone) made the log library report that to standard error by eprintln, which panics where standard error fails: the courier ended with status 101 at its first line. A pipe whose reader had stopped held up the event loop for ever, as the write waits. Seen with 2>/dev/full, a closed and a full pipe. Ruled out: the courier's own panics (none; the backtrace is tracing-subscriber's fmt layer).

--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod handover;
 mod journal;
+mod log;
 mod notices;
 mod past;
 mod seldom;
@@ -34,7 +35,7 @@
 use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout, Instant};
-use tracing::{error, info, warn, Level};
+use tracing::{error, info, warn};
 
 use crate::admin::Door;
 use crate::clients::{ClientLimits, Clients};
@@ -54,9 +55,6 @@
 /// wait 400 ms for an answer; who takes longer does not read.
 const SETTLE: Duration = Duration::from_millis(100);
 
-/// Names the least level of the log's lines: `error`, `warn`, `info` (if absent), `debug`.
-const LOG_VARIABLE: &str = "GULLCART_LOG";
-
 /// How often it is looked whether the last call has ended, or an address is free.
 const LOOK: Duration = Duration::from_millis(20);
 /// How long the operators' address is left alone after it could not be had.
@@ -364,15 +362,8 @@
     }
 }
 
-/// How much the log tells: `debug` adds a line for each step of each message and the reason of each close.
-fn log_level() -> Level {
-    let told = std::env::var(LOG_VARIABLE).ok();
-    told.and_then(|level| level.parse().ok()).unwrap_or(Level::INFO)
-}
-
 fn main() -> ExitCode {
-    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
-    lines.with_max_level(log_level()).init();
+    log::begin();
     // Before all else: without a handler a signal would end the process.
     let result = persistently_blocking("handling signals", Handlers::install).and_then(|handlers| {
         let build = || Builder::new_current_thread().enable_all().build();
