--- a/src/bin/gullcart/clock.rs
+++ b/src/bin/gullcart/clock.rs
@@ -9,7 +9,7 @@
 use rustix::time::{clock_gettime, ClockId};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
-use tracing::warn;
+use tracing::{debug, warn};
 
 use crate::journal::ClockReading;
 
@@ -36,6 +36,7 @@
         let wall_ms = wall_ms();
         let since = last.and_then(|last| Some(last.journal_ms + as_ms(elapsed_since(last, &boot)?)));
         let start_ms = since.unwrap_or(wall_ms);
+        debug!(goes_on = since.is_some(), wall_ms, journal_ms = start_ms, "journal time");
         if wall_ms.abs_diff(start_ms) > as_ms(STEPPED) {
             warn!(wall_ms, journal_ms = start_ms, "the wall clock was stepped: time goes on as before");
         }
--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -637,7 +637,8 @@
     fn may_end(&self) -> bool {
         let Some((least, last)) = self.ends else { return false };
         let now = Instant::now();
-        let idle = self.out.is_empty() && self.journal.image.held.is_empty();
+        // The next process is to know all that this one does.
+        let idle = self.out.is_empty() && self.journal.image.held.is_empty() && self.journal.is_settled();
         now >= last || (now >= least && idle)
     }
 
--- a/src/bin/gullcart/handover.rs
+++ b/src/bin/gullcart/handover.rs
@@ -394,6 +394,8 @@
 
 /// How a hand-over ended for the process that handed over.
 pub enum Given {
+    /// It was not handed over: this process goes on, and the other one asks again.
+    Refused,
     /// This process is done.
     Over,
     /// The other one has gone before this one was told to end; what happened here meanwhile.
--- a/src/bin/gullcart/main.rs
+++ b/src/bin/gullcart/main.rs
@@ -337,8 +337,16 @@
         if !next.shares_memory {
             driver.end_calls(&mut events).await;
         }
-        match next.give(&mut driver, &mut events, &mut moved, &listener, &lock).await {
+        // What the journal does not hold yet would be lost to the other process.
+        let given = if driver.journal_is_settled() {
+            next.give(&mut driver, &mut events, &mut moved, &listener, &lock).await
+        } else {
+            next.refuse().await;
+            Given::Refused
+        };
+        match given {
             Given::Over => return Ok(()),
+            Given::Refused => driver.stand(before),
             Given::Back(kept) => {
                 let untouched = driver.journal_is_untouched();
                 warn!(untouched, "the other process has gone before it was in service: this one goes on");
--- a/src/bin/lab/soak/mod.rs
+++ b/src/bin/lab/soak/mod.rs
@@ -48,6 +48,8 @@
     (Call::EpollWait, &[EINTR]),
 ];
 const SOFT_PART: f64 = 0.05;
+/// System calls that fail while a disk does.
+const DISK_CALLS: [Call; 3] = [Call::StateWrite, Call::StateTruncate, Call::StateRename];
 const ECONNABORTED: i32 = Errno::CONNABORTED.raw_os_error();
 const ENFILE: i32 = Errno::NFILE.raw_os_error();
 const ENOBUFS: i32 = Errno::NOBUFS.raw_os_error();
@@ -187,6 +189,20 @@
     /// Puts another process in this one's place while it serves; nobody may notice.
     fn replace(&mut self, plan: &Plan) -> io::Result<()> {
         let next = Process::start_with(&plan.courier, &self.folder, &self.variables(plan))?;
+        self.hand_over_to(next);
+        Ok(())
+    }
+
+    /// The same with a disk that fails when the next process comes, and is well a moment later.
+    fn replace_while_the_disk_fails(&mut self, plan: &Plan) -> io::Result<()> {
+        let next = Process::start_with(&plan.courier, &self.folder, &self.variables(plan))?;
+        thread::sleep(KILL_TO_START);
+        DISK_CALLS.iter().try_for_each(|call| self.faults.clear(*call))?;
+        self.hand_over_to(next);
+        Ok(())
+    }
+
+    fn hand_over_to(&mut self, next: Process) {
         if next.log_times(" listening ", 1, READY).is_err() {
             locked(&self.ledger).breach(format!("courier {} was not handed over", self.number));
         }
@@ -198,7 +214,6 @@
         self.keep_log();
         self.process = Some(next);
         locked(&self.ledger).count("hand-overs");
-        Ok(())
     }
 
     fn variables(&self, plan: &Plan) -> Vec<(&'static str, PathBuf)> {
@@ -285,12 +300,13 @@
                     self.faults.set(Call::StateRename, Fault::always(&[EIO]))?;
                 }
                 thread::sleep(Duration::from_millis(chance.u64(300..2500)));
-                if chance.bool() {
-                    self.restart(plan, endpoints, chance.bool())?;
-                }
-                for call in [Call::StateWrite, Call::StateTruncate, Call::StateRename] {
-                    self.faults.clear(call)?;
+                match chance.u8(..4) {
+                    0 => self.restart(plan, endpoints, true)?,
+                    1 => self.restart(plan, endpoints, false)?,
+                    2 => self.replace_while_the_disk_fails(plan)?,
+                    _ => {}
                 }
+                DISK_CALLS.iter().try_for_each(|call| self.faults.clear(*call))?;
             }
             _ => {
                 let steps = [0, 3_600_000, -3_600_000, 5_000, -5_000];
--- a/tests/lab.rs
+++ b/tests/lab.rs
@@ -423,3 +423,28 @@
     assert_eq!(median(&mut [3.0, 1.0, 100.0, 2.0]), Some(2.5));
     assert_eq!(median(&mut []), None);
 }
+
+/// A short soak of real couriers among all its troubles: no rule is broken, and faults were met.
+#[test]
+fn a_short_soak_breaks_no_rule() {
+    let shim = Path::new(env!("CARGO_BIN_EXE_lab")).with_file_name("examples").join("libfault_shim.so");
+    let mut lab = Command::new(env!("CARGO_BIN_EXE_lab"));
+    lab.args(["soak", "--seed", "11", "--couriers", "6", "--seconds", "8"]);
+    lab.args(["--courier", env!("CARGO_BIN_EXE_gullcart"), "--shim"]).arg(shim);
+    let output = lab.output().unwrap();
+    let told = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{told}{}", String::from_utf8_lossy(&output.stderr));
+    for word in ["accepted ", "delivered ", "notices ", "starts ", "Accept ", "TcpRead ", "TcpWrite "] {
+        assert!(told.contains(word), "{word}: {told}");
+    }
+}
+
+/// Without the shim nothing would fail: the soak says what is missing, and how it is made.
+#[test]
+fn a_soak_without_its_shim_is_not_played() {
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_lab")).args(["soak", "--shim", "nowhere.so"]).output().unwrap();
+    assert!(!output.status.success());
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(told.contains("nowhere.so is missing; cargo build --release --examples makes it"), "{told}");
+}
