--- a/fault-shim/lib.rs
+++ b/fault-shim/lib.rs
@@ -72,13 +72,16 @@
 fn fault(call: Call) -> Option<i32> {
     let page = page()?;
     let at = call.entry();
-    let (rate, budget) = (word(page, at), word(page, at + 1));
-    let number = word(page, at + 2).fetch_add(1, Ordering::SeqCst);
+    let (rate, budget, skipped) = (word(page, at), word(page, at + 1), word(page, at + 2));
+    let number = word(page, at + 3).fetch_add(1, Ordering::SeqCst);
     let drawn = chance(seed(page), (call as u64) << 32 | u64::from(number));
     if drawn as u32 & 0xFFFF >= rate.load(Ordering::SeqCst) {
         return None;
     }
     let one_less = |left: u32| left.checked_sub(1);
+    if skipped.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_less).is_ok() {
+        return None;
+    }
     if budget.load(Ordering::SeqCst) != UNLIMITED
         && budget.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_less).is_err()
     {
@@ -88,7 +91,7 @@
         (0..ERRORS).map(|place| word(page, at + ENTRY_WORDS - ERRORS + place).load(Ordering::SeqCst));
     let errors: Vec<i32> = errors.map(|word| word as i32).filter(|error| *error != 0).collect();
     let error = *errors.get((drawn >> 32) as usize % errors.len().max(1))?;
-    word(page, at + 3).fetch_add(1, Ordering::SeqCst);
+    word(page, at + 4).fetch_add(1, Ordering::SeqCst);
     Some(error)
 }
 
@@ -214,6 +217,8 @@
     Of(usize),
     /// So much of it goes through, and then there is this error.
     Torn(usize, i32),
+    /// So much of it goes through, and then the process is killed.
+    Killed(usize),
     Fails(i32),
 }
 
@@ -222,17 +227,31 @@
         None => Transfer::Of(length),
         // An empty transfer would be the end of the data.
         Some(Call::SHORT) => Transfer::Of(length.div_ceil(2).max(1).min(length)),
+        Some(Call::KILLED_BEFORE) => Transfer::Killed(length / 2),
+        Some(Call::KILLED_BEHIND) => Transfer::Killed(length),
         Some(Call::TORN) => Transfer::Torn(length / 2, libc::ENOSPC),
         Some(error) => Transfer::Fails(error),
     }
 }
 
-/// Fails a call that returns -1 with an error.
+/// Ends the process at once, as the platform may at any moment.
+fn die() -> ! {
+    unsafe {
+        libc::kill(libc::getpid(), libc::SIGKILL);
+        libc::_exit(137)
+    }
+}
+
+/// Fails a call that returns -1 with an error, or kills the process before it.
 macro_rules! fail_with {
     ($call:expr) => {
-        if let Some(error) = fault($call).filter(|error| *error > 0) {
-            set_errno(error);
-            return -1;
+        match fault($call) {
+            Some(Call::KILLED_BEFORE) => die(),
+            Some(error) if error > 0 => {
+                set_errno(error);
+                return -1;
+            }
+            _ => {}
         }
     };
 }
@@ -358,6 +377,7 @@
         Transfer::Of(length) => {
             real!(c"read", extern "C" fn(c_int, *mut c_void, size_t) -> ssize_t, fd, bytes, length)
         }
+        Transfer::Killed(_) => die(),
         Transfer::Torn(_, error) | Transfer::Fails(error) => {
             set_errno(error);
             -1
@@ -378,6 +398,7 @@
                 flags
             )
         }
+        Transfer::Killed(_) => die(),
         Transfer::Torn(_, error) | Transfer::Fails(error) => {
             set_errno(error);
             -1
@@ -407,6 +428,10 @@
             real!(c"write", extern "C" fn(c_int, *const c_void, size_t) -> ssize_t, fd, bytes, length)
         }
         Transfer::Torn(length, error) => write_torn(fd, bytes, length, error),
+        Transfer::Killed(length) => {
+            write_torn(fd, bytes, length, 0);
+            die()
+        }
         Transfer::Fails(error) => {
             set_errno(error);
             -1
@@ -427,6 +452,10 @@
                 flags
             )
         }
+        Transfer::Killed(length) => {
+            write_torn(fd, bytes, length, 0);
+            die()
+        }
         Transfer::Torn(_, error) | Transfer::Fails(error) => {
             set_errno(error);
             -1
@@ -446,6 +475,20 @@
         Transfer::Of(_) => {
             real!(c"writev", extern "C" fn(c_int, *const libc::iovec, c_int) -> ssize_t, fd, parts, count)
         }
+        Transfer::Killed(length) => {
+            if length < first {
+                write_torn(fd, unsafe { (*parts).iov_base }, length, 0);
+            } else {
+                real!(
+                    c"writev",
+                    extern "C" fn(c_int, *const libc::iovec, c_int) -> ssize_t,
+                    fd,
+                    parts,
+                    count
+                );
+            }
+            die()
+        }
         Transfer::Torn(_, error) | Transfer::Fails(error) => {
             set_errno(error);
             -1
@@ -483,6 +526,10 @@
             set_errno(error);
             -1
         }
+        Transfer::Killed(length) => {
+            write(length);
+            die()
+        }
         Transfer::Fails(error) => {
             set_errno(error);
             -1
@@ -528,10 +575,22 @@
 
 #[no_mangle]
 pub unsafe extern "C" fn rename(from: *const c_char, to: *const c_char) -> c_int {
+    let rename = || real!(c"rename", extern "C" fn(*const c_char, *const c_char) -> c_int, from, to);
     if kind_of_path(unsafe { CStr::from_ptr(to) }.to_bytes()) == Kind::State {
-        fail_with!(Call::StateRename);
+        match fault(Call::StateRename) {
+            Some(Call::KILLED_BEFORE) => die(),
+            Some(Call::KILLED_BEHIND) => {
+                rename();
+                die()
+            }
+            Some(error) if error > 0 => {
+                set_errno(error);
+                return -1;
+            }
+            _ => {}
+        }
     }
-    real!(c"rename", extern "C" fn(*const c_char, *const c_char) -> c_int, from, to)
+    rename()
 }
 
 #[no_mangle]
--- a/src/bin/lab/fault_page.rs
+++ b/src/bin/lab/fault_page.rs
@@ -20,8 +20,8 @@
 
 /// Words (of 4 bytes) before the entries: the seed (two) and the offset of the wall clock in milliseconds (two).
 pub const HEADER_WORDS: usize = 4;
-/// Words of one entry: rate, budget, calls, hits, and the errors.
-pub const ENTRY_WORDS: usize = 4 + ERRORS;
+/// Words of one entry: rate, budget, skipped, calls, hits, and the errors.
+pub const ENTRY_WORDS: usize = 5 + ERRORS;
 
 /// System calls that can fail, told apart by what they are made on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -68,6 +68,10 @@
     pub const SHORT: i32 = -1;
     /// In the place of an error number: a part of the bytes is written, and then the disk is full.
     pub const TORN: i32 = -2;
+    /// The process is killed before the call, or when half of the bytes are written ...
+    pub const KILLED_BEFORE: i32 = -3;
+    /// ... or right behind the call, before it returns.
+    pub const KILLED_BEHIND: i32 = -4;
 
     pub const ALL: [Call; 28] = [
         Call::Accept,
@@ -116,7 +120,9 @@
     pub rate: u32,
     /// Calls that fail at most, or [`UNLIMITED`].
     pub budget: u32,
-    /// Error numbers, or [`Call::SHORT`] or [`Call::TORN`]; unused places hold 0.
+    /// Calls that are let through first.
+    pub skipped: u32,
+    /// Error numbers, or one of the negative numbers of [`Call`]; unused places hold 0.
     pub errors: [i32; ERRORS],
 }
 
@@ -125,7 +131,7 @@
     pub fn always(errors: &[i32]) -> Self {
         let mut padded = [0; ERRORS];
         padded.iter_mut().zip(errors).for_each(|(place, error)| *place = *error);
-        Fault { rate: ALWAYS, budget: UNLIMITED, errors: padded }
+        Fault { rate: ALWAYS, budget: UNLIMITED, skipped: 0, errors: padded }
     }
 
     /// Fails this part of the calls.
@@ -133,6 +139,11 @@
         Fault { rate: (part * f64::from(ALWAYS)) as u32, ..self }
     }
 
+    /// Lets so many calls through first.
+    pub fn after(self, skipped: u32) -> Self {
+        Fault { skipped, ..self }
+    }
+
     /// Fails so many calls at most.
     pub fn times(self, budget: u32) -> Self {
         Fault { budget, ..self }
@@ -168,8 +179,8 @@
         let at = 4 * call.entry() as u64;
         let errors: Vec<u8> = fault.errors.iter().flat_map(|error| error.to_le_bytes()).collect();
         // The rate goes last: what it sets off is complete by then.
-        self.0.write_all_at(&errors, at + 16)?;
-        self.0.write_all_at(&fault.budget.to_le_bytes(), at + 4)?;
+        self.0.write_all_at(&errors, at + 20)?;
+        self.0.write_all_at(&[fault.budget.to_le_bytes(), fault.skipped.to_le_bytes()].concat(), at + 4)?;
         self.0.write_all_at(&fault.rate.to_le_bytes(), at)
     }
 
@@ -181,7 +192,7 @@
     /// What was counted since the page was made.
     pub fn counted(&self, call: Call) -> io::Result<Counted> {
         let mut words = [0; 8];
-        self.0.read_exact_at(&mut words, 4 * call.entry() as u64 + 8)?;
+        self.0.read_exact_at(&mut words, 4 * call.entry() as u64 + 12)?;
         let [a, b, c, d, e, f, g, h] = words;
         Ok(Counted { calls: u32::from_le_bytes([a, b, c, d]), hits: u32::from_le_bytes([e, f, g, h]) })
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,6 +2,8 @@
 //! discovery, and clients. All ports are chosen by the system, and tests wait on what arrives.
 #![allow(dead_code)]
 
+pub mod life;
+
 #[path = "../../src/bin/lab/fault_page.rs"]
 mod fault_page;
 #[path = "../../src/bin/lab/stand_ins.rs"]
@@ -601,6 +603,11 @@
         Client::connect(self.address, limit)
     }
 
+    /// Whether the process has ended by now.
+    pub fn has_ended(&mut self) -> bool {
+        self.process.child.try_wait().unwrap().is_some()
+    }
+
     pub fn kill(mut self) -> Stopped<'a> {
         self.process.child.kill().unwrap();
         self.process.child.wait().unwrap();
