--- a/fault-shim/lib.rs
+++ b/fault-shim/lib.rs
@@ -408,11 +408,21 @@
 
 #[no_mangle]
 pub extern "C" fn recvmsg(fd: c_int, message: *mut libc::msghdr, flags: c_int) -> ssize_t {
-    if let Transfer::Fails(error) = transfer(reading(fd), 2) {
-        set_errno(error);
-        return -1;
+    let recvmsg =
+        || real!(c"recvmsg", extern "C" fn(c_int, *mut libc::msghdr, c_int) -> ssize_t, fd, message, flags);
+    // A message is not cut: half of it is none.
+    match transfer(reading(fd), 2) {
+        Transfer::Of(_) => recvmsg(),
+        Transfer::Killed(1) => die(),
+        Transfer::Killed(_) => {
+            recvmsg();
+            die()
+        }
+        Transfer::Torn(_, error) | Transfer::Fails(error) => {
+            set_errno(error);
+            -1
+        }
     }
-    real!(c"recvmsg", extern "C" fn(c_int, *mut libc::msghdr, c_int) -> ssize_t, fd, message, flags)
 }
 
 fn write_torn(fd: c_int, bytes: *const c_void, length: size_t, error: i32) -> ssize_t {
@@ -498,11 +508,21 @@
 
 #[no_mangle]
 pub extern "C" fn sendmsg(fd: c_int, message: *const libc::msghdr, flags: c_int) -> ssize_t {
-    if let Transfer::Fails(error) = transfer(writing(fd), 2) {
-        set_errno(error);
-        return -1;
+    let sendmsg =
+        || real!(c"sendmsg", extern "C" fn(c_int, *const libc::msghdr, c_int) -> ssize_t, fd, message, flags);
+    // A message is not cut: half of it is none.
+    match transfer(writing(fd), 2) {
+        Transfer::Of(_) => sendmsg(),
+        Transfer::Killed(1) => die(),
+        Transfer::Killed(_) => {
+            sendmsg();
+            die()
+        }
+        Transfer::Torn(_, error) | Transfer::Fails(error) => {
+            set_errno(error);
+            -1
+        }
     }
-    real!(c"sendmsg", extern "C" fn(c_int, *const libc::msghdr, c_int) -> ssize_t, fd, message, flags)
 }
 
 // ---- Files ----
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -339,6 +339,11 @@
 
     /// Starts a process that may have to wait for another one.
     pub fn start_beside(&self) -> Courier<'_> {
+        self.start_process().with_door()
+    }
+
+    /// Starts a process that may end at any time.
+    pub fn start_process(&self) -> Courier<'_> {
         self.configure(&self.discovery);
         Courier::start(self)
     }
@@ -552,9 +557,22 @@
         let binary = Path::new(env!("CARGO_BIN_EXE_gullcart"));
         let process = Process::start_with(binary, &world.folder, &world.fault_variables()).unwrap();
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut courier = Courier { world, process, address: nowhere, admin: nowhere };
-        courier.admin = address_in(&courier.log_until("operators may call")).unwrap();
-        courier
+        Courier { world, process, address: nowhere, admin: nowhere }
+    }
+
+    /// Waits until operators may call it.
+    fn with_door(mut self) -> Self {
+        self.admin = address_in(&self.log_until("operators may call")).unwrap();
+        self
+    }
+
+    /// Waits until it serves or has ended, and tells whether it has served.
+    pub fn listens_or_ends(&mut self) -> bool {
+        let end = Instant::now() + PATIENCE;
+        while !self.has_logged(" listening ") && !self.has_ended() && Instant::now() < end {
+            thread::sleep(Duration::from_millis(5));
+        }
+        self.has_logged(" listening ")
     }
 
     /// Waits until it serves.
@@ -682,7 +700,7 @@
 
 impl<'a> Stopped<'a> {
     pub fn restart(self) -> Courier<'a> {
-        Courier::start(self.world).listening()
+        Courier::start(self.world).with_door().listening()
     }
 }
 
