--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -236,10 +236,10 @@
             .min(endpoint_sockets.saturating_sub(settings.call_slots))
             .max(1);
         let guard = SendGuard::new(&settings);
-        let clock = Clock::new(journal.image.clock.as_ref());
-        if !journal.image.clock.as_ref().is_some_and(|last| clock.continues(last)) {
+        let clock = Clock::new(journal.clock());
+        if !journal.clock().is_some_and(|last| clock.continues(last)) {
             // Where it cannot be written now it is written later; its errors are those of the next records.
-            let _ = journal.clock(clock.reading());
+            let _ = journal.set_clock(clock.reading());
         }
         let pool = Rc::new(Pool::new(settings.connect_timeout, settings.conn_idle, endpoint_sockets, idle));
         Driver {
--- a/src/bin/gullcart/journal/frame.rs
+++ b/src/bin/gullcart/journal/frame.rs
@@ -2,6 +2,7 @@
 
 use cloverstile::list::{Target, Update};
 use postcard::ser_flavors::Size;
+use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::io::{self, Read};
 
@@ -57,7 +58,7 @@
     }))
 }
 
-pub fn frame(record: &Record) -> Result<Vec<u8>, JournalError> {
+pub fn frame(record: &impl Serialize) -> Result<Vec<u8>, JournalError> {
     let payload = postcard::to_stdvec(record)?;
     if payload.len() > LONGEST {
         // It would be taken for damage, and cut off what comes after it.
@@ -72,7 +73,7 @@
 
 /// The next record and its length, of a file that goes on for `left` bytes; none at the end or where it is
 /// damaged.
-pub fn read_record(file: &mut impl Read, left: u64) -> io::Result<Option<(Record, u64)>> {
+pub fn read_frame<T: DeserializeOwned>(file: &mut impl Read, left: u64) -> io::Result<Option<(T, u64)>> {
     let Some(left) = left.checked_sub(FRAME as u64) else { return Ok(None) };
     let (mut length, mut sum) = ([0; 4], [0; 4]);
     file.read_exact(&mut length)?;
--- a/src/bin/gullcart/journal/mod.rs
+++ b/src/bin/gullcart/journal/mod.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
-use frame::{frame, list_records, pieces, read_record, FRAME};
+use frame::{frame, list_records, pieces, read_frame, FRAME};
 use record::{Image, Record};
 
 pub use record::{ClockReading, Held, OutageChange, OutageKey, OutageNote, Sent, Taken, Verdict};
@@ -32,6 +32,8 @@
 const HARD_PART: f64 = 0.95;
 /// Room kept for the later records of each live message.
 const PER_MESSAGE: u64 = 128;
+/// What the file of the clock takes of the disk.
+const CLOCK_FILE: u64 = 512;
 /// In the place of a record's length and checksum: there is none, and nothing behind it counts.
 const NO_RECORD: [u8; FRAME] = [0; FRAME];
 /// After a compaction that failed, none is tried for so long.
@@ -70,6 +72,8 @@
     copy_left: u64,
     /// When a compaction failed last.
     compaction_failed: Option<Instant>,
+    clock: Option<ClockReading>,
+    clock_unwritten: bool,
 }
 
 impl Journal {
@@ -80,17 +84,19 @@
     /// The file cannot be opened or read. Nothing has been changed then, and it may be tried again.
     pub fn open(folder: &Path, disk: u64) -> Result<Self, JournalError> {
         let path = folder.join("journal");
+        let disk = disk.saturating_sub(CLOCK_FILE);
         let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(&path)?;
         let end = file.metadata()?.len();
         let mut image = Image::default();
         // One record at a time: a file may be larger than the memory.
         let mut reader = BufReader::new(&file);
         let mut size = 0;
-        while let Some((record, length)) = read_record(&mut reader, end - size)? {
+        while let Some((record, length)) = read_frame(&mut reader, end - size)? {
             image.apply(record);
             size += length;
         }
         let live = image.held.values().map(cost).sum();
+        let clock = read_clock(&path)?;
         let mut journal = Journal {
             path,
             file,
@@ -103,6 +109,8 @@
             tail_unclean: end > size,
             copy_left: 0,
             compaction_failed: None,
+            clock,
+            clock_unwritten: false,
         };
         if journal.tail_unclean {
             journal.clean_tail();
@@ -139,6 +147,10 @@
             self.write(&bytes)?;
             self.list_unwritten = false;
         }
+        if self.clock_unwritten {
+            // Only a wall clock that is stepped needs it: nothing else waits for it.
+            let _ = self.write_clock();
+        }
         if self.tail_unclean {
             self.clean_tail();
         }
@@ -146,7 +158,7 @@
     }
 
     fn has_all(&self) -> bool {
-        self.unwritten.is_empty() && !self.list_unwritten
+        self.unwritten.is_empty() && !self.list_unwritten && !self.clock_unwritten
     }
 
     /// Whether the file is as this process left it.
@@ -234,9 +246,26 @@
         self.promise(Record::Detached(uid.to_owned(), out))
     }
 
+    /// The last reading of the clock; none in a folder of an older build, whose journal counts in wall time.
+    pub fn clock(&self) -> Option<&ClockReading> {
+        self.clock.as_ref()
+    }
+
     /// How journal time goes on from now.
-    pub fn clock(&mut self, reading: ClockReading) -> Result<(), JournalError> {
-        self.tell(Record::Clock(reading))
+    pub fn set_clock(&mut self, reading: ClockReading) -> Result<(), JournalError> {
+        self.clock = Some(reading);
+        self.clock_unwritten = true;
+        self.write_clock()
+    }
+
+    /// In a file of its own: an older build, which knows no such record, still reads the journal.
+    fn write_clock(&mut self) -> Result<(), JournalError> {
+        let Some(reading) = &self.clock else { return Ok(()) };
+        let file =
+            OpenOptions::new().write(true).create(true).truncate(false).open(clock_path(&self.path))?;
+        file.write_all_at(&frame(reading)?, 0)?;
+        self.clock_unwritten = false;
+        Ok(())
     }
 
     fn part(&self, part: f64) -> u64 {
@@ -350,7 +379,6 @@
             let noted = |note: &OutageNote| OutageChange::Noted(note.clone());
             write(Record::OutageChanges(piece.into_iter().map(noted).collect()))?;
         }
-        self.image.clock.iter().try_for_each(|reading| write(Record::Clock(reading.clone())))?;
         for uid in &self.image.detached {
             write(Record::Detached(uid.clone(), true))?;
         }
@@ -366,6 +394,19 @@
     }
 }
 
+fn clock_path(journal: &Path) -> PathBuf {
+    journal.with_extension("clock")
+}
+
+/// The reading of the clock that was written last; none if there is none, or it is damaged.
+fn read_clock(journal: &Path) -> io::Result<Option<ClockReading>> {
+    match fs::read(clock_path(journal)) {
+        Ok(bytes) => Ok(read_frame(&mut bytes.as_slice(), bytes.len() as u64)?.map(|(reading, _)| reading)),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
 fn taken_cost(taken: &Taken) -> u64 {
     let key = taken.idempotency_key.as_ref().map_or(0, String::len);
     let texts = taken.id.len() + taken.class.len() + taken.tenant.len() + key;
--- a/src/bin/gullcart/journal/record.rs
+++ b/src/bin/gullcart/journal/record.rs
@@ -128,8 +128,6 @@
     TargetsPart(u32, u32, Update),
     /// The attempt that was begun last was not made, for want of something on the courier's own machine.
     NotMade(u32),
-    /// How journal time goes on. A journal without one, of an older build, counts in wall time.
-    Clock(ClockReading),
 }
 
 /// The outages that are remembered.
@@ -184,8 +182,6 @@
     pub outages: Outages,
     /// Endpoints that operators leave out, by their uids, listed or not.
     pub detached: BTreeSet<String>,
-    /// The last reading of the clock.
-    pub clock: Option<ClockReading>,
     /// The parts so far of a list that is not whole yet.
     parts: Vec<Update>,
 }
@@ -260,7 +256,6 @@
                 }
             }
             Record::Destinations(destinations) => self.destinations.extend(destinations),
-            Record::Clock(reading) => self.clock = Some(reading),
             Record::Detached(uid, true) => drop(self.detached.insert(uid)),
             Record::Detached(uid, false) => drop(self.detached.remove(&uid)),
         }
--- a/tests/journals.rs
+++ b/tests/journals.rs
@@ -438,3 +438,27 @@
         tenant: String::new(),
     }
 }
+
+/// A courier that has lived without trouble leaves a journal in which the build before finds only records that it
+/// knows: journal time is kept beside it.
+#[test]
+fn an_untroubled_journal_has_only_records_of_the_build_before() {
+    const LAST_KNOWN_KIND: u8 = 12;
+    let world = World::patient(1, 3.0);
+    let courier = world.start();
+    let mut client = courier.client();
+    assert_eq!(client.enqueue("r1", "0", "salary", 1, b"x"), "+OK");
+    world.call().answer("200 OK", "");
+    assert_eq!(client.enqueue("r2", "0", "salary", 1, b"x"), "+OK");
+    world.call().reset();
+    assert!(world.notice().contains("failed"));
+    drop(courier.kill_and_restart());
+    let journal = world.journal();
+    let (mut at, mut records) = (0, 0);
+    while let Some(head) = journal[at..].first_chunk::<4>() {
+        assert!(journal[at + 8] <= LAST_KNOWN_KIND, "record {records} is of kind {}", journal[at + 8]);
+        at += 8 + u32::from_le_bytes(*head) as usize;
+        records += 1;
+    }
+    assert!(records > 5 && at == journal.len(), "{records} records, {at} of {} bytes", journal.len());
+}
