--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,6 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+mod operators;
 mod reports;
 mod upkeep;
 
@@ -470,38 +471,6 @@
         }
     }
 
-    fn on_detach(&mut self, endpoint: EndpointId) {
-        if self.detached.insert(endpoint) {
-            let to = self.addresses.get(&endpoint).map(|address| address.entry.destination);
-            to.into_iter().for_each(|to| self.touch(to));
-            self.actions.push(Action::CloseIdle { endpoint });
-        }
-    }
-
-    /// What comes back from the operators counts as cold: it may have been restarted at any time since. What
-    /// its calls met meanwhile says nothing of it now.
-    fn on_attach(&mut self, now: Time, endpoint: EndpointId) {
-        if !self.detached.remove(&endpoint) {
-            return;
-        }
-        let Some(address) = self.addresses.get_mut(&endpoint) else { return };
-        (address.failures, address.avoid_until, address.used) = (0, now, None);
-        let Some(id) = self.addresses.get(&endpoint).map(|address| self.route_of(&address.entry)) else {
-            return;
-        };
-        self.touch(id.0);
-        if let Some(route) = self.routes.get_mut(&id) {
-            self.agenda.outages.insert(id);
-            (route.spell, route.evidence, route.returned) = (None, 0, Some(now));
-            (route.filled, route.tokens) = (now, 0.0);
-        }
-    }
-
-    /// Whether an endpoint may be given new work.
-    fn is_open(&self, address: &Address) -> bool {
-        address.entry.mode == Mode::Ready && !self.detached.contains(&address.entry.id)
-    }
-
     fn on_finished(&mut self, now: Time, finished: Finished) {
         // A wait binds from the batch that tells it, whichever message of a call brings it, and whatever
         // became of that message.
