Let a list that cannot be written hold up no message

Change: promises wait for records of messages alone; the list and the clock's reading are written apart, by the driver's timer, and not tried again at each record.

--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -604,8 +604,8 @@
             self.note(written);
             self.settle_at = (!self.journal.is_settled()).then_some(now + SETTLE_GAP);
         }
-        let settled = self.journal.is_settled();
-        for (notice, _) in self.untold.extract_if(.., |(_, until)| settled || *until <= now) {
+        let written = self.journal.has_all_records();
+        for (notice, _) in self.untold.extract_if(.., |(_, until)| written || *until <= now) {
             let _ = self.notices.send(notice);
         }
     }
--- a/src/bin/gullcart/journal/mod.rs
+++ b/src/bin/gullcart/journal/mod.rs
@@ -121,7 +121,7 @@
 
     /// Whether the file says all that the image does, and no more.
     pub fn is_settled(&self) -> bool {
-        self.has_all() && !self.tail_unclean
+        self.has_all_records() && !self.list_unwritten && !self.clock_unwritten && !self.tail_unclean
     }
 
     /// Whether a failed write may have left a whole record behind, which the next process would believe.
@@ -129,27 +129,19 @@
         self.tail_unclean
     }
 
+    /// Whether the file has all records of messages. The list and the clock do not wait for these, nor these for them.
+    pub fn has_all_records(&self) -> bool {
+        self.unwritten.is_empty()
+    }
+
     /// Writes what could not be written before.
     pub fn settle(&mut self) -> Result<(), JournalError> {
-        while let Some(record) = self.unwritten.front() {
-            self.write(&frame(record)?)?;
-            // A compaction on the way has written them all.
-            self.unwritten.pop_front();
-        }
+        self.write_records()?;
         if self.list_unwritten {
-            let mut bytes = Vec::new();
-            for piece in pieces(&self.image.destinations)? {
-                bytes.extend(frame(&Record::Destinations(piece.into_iter().copied().collect()))?);
-            }
-            for record in list_records(self.image.rev, true, self.image.targets.values())? {
-                bytes.extend(frame(&record)?);
-            }
-            self.write(&bytes)?;
-            self.list_unwritten = false;
+            self.write_list()?;
         }
         if self.clock_unwritten {
-            // Only a wall clock that is stepped needs it: nothing else waits for it.
-            let _ = self.write_clock();
+            self.write_clock()?;
         }
         if self.tail_unclean {
             self.clean_tail();
@@ -157,8 +149,28 @@
         Ok(())
     }
 
-    fn has_all(&self) -> bool {
-        self.unwritten.is_empty() && !self.list_unwritten && !self.clock_unwritten
+    /// Writes the records that could not be written before, the oldest first.
+    fn write_records(&mut self) -> Result<(), JournalError> {
+        while let Some(record) = self.unwritten.front() {
+            self.write(&frame(record)?)?;
+            // A compaction on the way has written them all.
+            self.unwritten.pop_front();
+        }
+        Ok(())
+    }
+
+    /// Writes the whole list, in the place of changes that could not be written.
+    fn write_list(&mut self) -> Result<(), JournalError> {
+        let mut bytes = Vec::new();
+        for piece in pieces(&self.image.destinations)? {
+            bytes.extend(frame(&Record::Destinations(piece.into_iter().copied().collect()))?);
+        }
+        for record in list_records(self.image.rev, true, self.image.targets.values())? {
+            bytes.extend(frame(&record)?);
+        }
+        self.write(&bytes)?;
+        self.list_unwritten = false;
+        Ok(())
     }
 
     /// Whether the file is as this process left it.
@@ -219,14 +231,17 @@
 
     /// Writes all of an update or, as far as the next process is concerned, nothing of it: the whole list later.
     pub fn targets(&mut self, update: Update) -> Result<(), JournalError> {
+        if self.list_unwritten {
+            self.image.list(update);
+            return self.write_list();
+        }
         let written = self.write_update(&update);
         self.image.list(update);
-        self.list_unwritten |= written.is_err();
+        self.list_unwritten = written.is_err();
         written
     }
 
     fn write_update(&mut self, update: &Update) -> Result<(), JournalError> {
-        self.settle()?;
         let mut bytes = Vec::new();
         for record in list_records(update.rev, update.all, &update.targets)? {
             bytes.extend(frame(&record)?);
@@ -274,7 +289,7 @@
 
     /// Writes a record that must be in the file before what it stands for happens; if it cannot be, that must not.
     fn promise(&mut self, record: Record) -> Result<(), JournalError> {
-        self.settle()?;
+        self.write_records()?;
         self.write(&frame(&record)?)?;
         self.image.apply(record);
         Ok(())
@@ -282,7 +297,7 @@
 
     /// Takes in a record of what has happened; the file gets it now or, after an error, later.
     fn tell(&mut self, record: Record) -> Result<(), JournalError> {
-        let written = self.settle().and_then(|()| self.write(&frame(&record)?));
+        let written = self.write_records().and_then(|()| self.write(&frame(&record)?));
         if written.is_ok() {
             self.image.apply(record);
         } else {
--- a/tests/journals.rs
+++ b/tests/journals.rs
@@ -462,3 +462,28 @@
     }
     assert!(records > 5 && at == journal.len(), "{records} records, {at} of {} bytes", journal.len());
 }
+
+/// A list that the disk has no room for keeps no message from being accepted, tried and ended.
+#[test]
+fn a_list_beyond_the_disk_holds_up_no_message() {
+    let folder = std::env::temp_dir().join(format!("gullcart-full-disk-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let mut journal = Journal::open(&folder, 20_000).unwrap();
+    let target = |number: u32| Target {
+        uid: format!("s-{number}"),
+        endpoint: "127.0.0.1:1".to_owned(),
+        az: "kingston".to_owned(),
+        model: "banks".to_owned(),
+        pod_group: 1,
+        state: "SERVING".to_owned(),
+        capacity_hint: 1.0,
+    };
+    let targets = (0..1000).map(target).collect();
+    assert!(journal.targets(Update { rev: 2, all: true, targets }).is_err());
+    let number = journal.take(taken("m1")).unwrap();
+    journal.start(number, (1_000, 1)).unwrap();
+    journal.outcome(number, true).unwrap();
+    let journal = Journal::open(&folder, 20_000).unwrap();
+    assert_eq!(journal.image.held[&number].maybe_ran, Some((1_000, 1)));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
