--- a/src/bin/gullcart/driver.rs
+++ b/src/bin/gullcart/driver.rs
@@ -602,7 +602,9 @@
         } else if self.settle_at.is_none_or(|at| at <= now) {
             let written = self.journal.settle();
             self.note(written);
-            self.settle_at = (!self.journal.is_settled()).then_some(now + SETTLE_GAP);
+            // Nothing waits for the list, and a long one takes its time to write.
+            let gap = if self.journal.has_all_records() { SWEEP } else { SETTLE_GAP };
+            self.settle_at = (!self.journal.is_settled()).then_some(now + gap);
         }
         let written = self.journal.has_all_records();
         for (notice, _) in self.untold.extract_if(.., |(_, until)| written || *until <= now) {
