--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,8 +9,9 @@
 sys.path.insert(0, str(FOLDER.parent))
 from stand_ins import *  # noqa: E402, F403
 
-# A message is lost if it has not ended this long after its time: 300 ms, and 50 ms more as for every limit.
-OVERDUE = 0.35
+# A message is lost if it has not ended this long after its time. PROTOCOL says 300 ms, STANDING half a second; the longer
+# of the two counts here, and 50 ms more as for every limit.
+OVERDUE = 0.55
 # The upgrade begins at this time, the new configuration comes this much later.
 UPGRADE_AT, CROSSING = 3.0, 0.05
 # How often the platform asks the new process whether it is ready.
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -269,7 +269,7 @@
         message.sent = self.world.record.now()
         deadline = time.monotonic() + CLIENT_WAIT
         for _ in range(2):
-            kept = None
+            kept = connection = None
             try:
                 while self.idle:
                     kept = self.idle.pop()
@@ -287,7 +287,9 @@
                 message.answer = line.decode().strip()
                 self.idle.append(connection)
                 break
-            if kept is None:
+            if connection is not None:
+                connection[1].close()
+            if kept is None or time.monotonic() >= deadline:
                 break
         self.world.record.line("client", f"{ident} {kind} dest={destination} bytes={len(body)} -> {message.answer}")
         return message
@@ -403,11 +405,14 @@
     async def run():
         world = World(record)
         failures = []
-        # An error in a task of a stand-in ends the case: it must not pass unnoticed.
+        # A `CaseError` in a task of a stand-in must not pass unnoticed.
         asyncio.get_running_loop().set_exception_handler(
             lambda _, context: failures.append(context.get("exception") or context["message"]))
+        task = asyncio.ensure_future(asyncio.wait_for(case(world, temporary, has_trouble, gateways), 115))
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            verdict = await asyncio.wait_for(case(world, temporary, has_trouble, gateways), 115)
+            verdict = await task
         finally:
             for gateway in gateways:
                 await gateway.end()
@@ -417,7 +422,7 @@
 
     try:
         verdict = asyncio.run(run())
-    except (CaseError, OSError, asyncio.TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # Any other failure is one of the case, not of the rule.
         record.line("case", f"could not run: {error!r}")
         verdict = NOT_RUN
     for log in sorted(temporary.glob("*.log")):
