--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,9 +12,9 @@
 # A message is lost if it has not ended this long after its time. PROTOCOL says 300 ms, STANDING half a second; the longer
 # of the two counts here, and 50 ms more as for every limit.
 OVERDUE = 0.55
-# The upgrade begins at this time, the new configuration comes this much later.
+# The upgrade begins at this time. The new configuration comes this long after the start of the new process.
 UPGRADE_AT, CROSSING = 3.0, 0.05
-# How often the platform asks the new process whether it is ready.
+# The platform asks the new process whether it is ready each time after this interval.
 READY_INTERVAL = 0.1
 # Clients hand in messages until then.
 TRAFFIC_END = 12.0
@@ -26,8 +26,10 @@
          lane("licence-payment", "non_idempotent", 5.0, 2, 6, 3, 0.5)]
 
 
-async def upgrade(old, new, note_ready):
+async def upgrade(old, new, note_started, note_ready):
     await new.spawn()
+    note_started()
+    await asyncio.sleep(READY_INTERVAL)
     while not await new.is_ready():
         await asyncio.sleep(READY_INTERVAL)
     new.world.record.line("platform", f"{new.name} says yes")
@@ -90,9 +92,11 @@
     ready_at = []
     background = [asyncio.create_task(traffic()), asyncio.create_task(outage())]
     await at(UPGRADE_AT)
-    replaced = asyncio.create_task(upgrade(old, new, lambda: ready_at.append(record.now())))
+    started = asyncio.Event()
+    replaced = asyncio.create_task(upgrade(old, new, started.set, lambda: ready_at.append(record.now())))
     if has_trouble:
-        await at(UPGRADE_AT + CROSSING)
+        await started.wait()
+        await asyncio.sleep(CROSSING)
         if ready_at:
             raise CaseError("the new process was ready before the configuration was replaced")
         await reconfigure(old)
