Follow a new configuration whichever process of a handover gets the signal

Cause: a process read the file at its start and at its own SIGHUP. On related paths the same fault: a predecessor that resumes service after its successor died, one killed before it handled the signal, a chain of three processes, and a file that cannot be parsed at the moment of the signal.

A process that has handed over passes each request on (ToSuccessor::ReloadConfiguration, sent only to a successor whose Hello accepts it). The unit test of the Hello's bytes follows the new last field, and another test reads the bytes of older builds. A request handled before the state is sent is older than the successor's read on entering service; any later one is relayed.

--- a/src/bin/delivery-gateway/event_loop/mod.rs
+++ b/src/bin/delivery-gateway/event_loop/mod.rs
@@ -251,6 +251,8 @@
                 let _ = reply.send(self.execute_operation(now, &operation));
             }
             GatewayEvent::Terminate => self.request_shutdown(now),
+            // A later successor reads the configuration when it enters service.
+            GatewayEvent::ReloadRequested => {}
         }
     }
 
--- a/src/bin/delivery-gateway/events.rs
+++ b/src/bin/delivery-gateway/events.rs
@@ -31,6 +31,9 @@
     Admin(AdminOperation, oneshot::Sender<AdminResult>),
     /// A shutdown was requested (SIGTERM).
     Terminate,
+    /// The configuration file may have been replaced. This process reads it by itself; if it has handed over, its
+    /// successor has to read it too.
+    ReloadRequested,
 }
 
 /// The phase of the service, which decides how clients' connections are handled.
@@ -69,6 +72,35 @@
     pub phase: watch::Sender<ServicePhase>,
 }
 
+/// The reason to read the configuration file again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReloadReason {
+    /// This process got SIGHUP.
+    Signal,
+    /// The predecessor got SIGHUP, or a request from its own predecessor.
+    PredecessorRequest,
+    /// The predecessor has ended.
+    PredecessorEnded,
+    /// This process enters service.
+    EnteringService,
+}
+
+/// Requests to read the configuration file again.
+#[derive(Clone)]
+pub struct ReloadRequests(UnboundedSender<ReloadReason>);
+
+impl ReloadRequests {
+    /// Creates the handle that sends to the task in charge of the file.
+    pub fn new(requests: UnboundedSender<ReloadReason>) -> Self {
+        ReloadRequests(requests)
+    }
+
+    /// Requests that the file is read again.
+    pub fn request(&self, reason: ReloadReason) {
+        let _ = self.0.send(reason);
+    }
+}
+
 /// A message that a client asks the gateway to deliver.
 #[derive(Debug, PartialEq, Eq)]
 pub struct EnqueueRequest {
--- a/src/bin/delivery-gateway/gateway.rs
+++ b/src/bin/delivery-gateway/gateway.rs
@@ -17,15 +17,16 @@
 
 use crate::background::BackgroundTasks;
 use crate::budget::ResourceBudget;
-use crate::config::Config;
+use crate::config::{Config, Environment};
 use crate::event_loop::EventLoop;
-use crate::events::{Channels, GatewayEvent, ServicePhase};
+use crate::events::{Channels, GatewayEvent, ReloadReason, ReloadRequests, ServicePhase};
 use crate::handover::{
     HandedOver, HandedOverState, HandoverListener, HandoverResult, SuccessorConnection, CALL_DRAIN_TIMEOUT,
 };
 use crate::journal::Journal;
 use crate::listener;
 use crate::ownership::Ownership;
+use crate::reload::ConfigurationReloader;
 use crate::resp2::{ClientServer, TransferredConnection};
 use crate::start_error::StartError;
 
@@ -69,6 +70,7 @@
     /// Its single permit is held while a batch of notifications is sent. A handover takes it.
     notification_gate: Arc<Semaphore>,
     agent: AgentAddress,
+    reload: ReloadRequests,
     /// Requests to watch the endpoint list again.
     watch_requests: watch::Receiver<()>,
     configured_endpoints: DiscoveryUpdate,
@@ -112,7 +114,7 @@
     pub async fn assemble(
         config: Config,
         parsed: ParsedSettings,
-        state_folder: PathBuf,
+        environment: Environment,
         ownership: Ownership,
     ) -> Result<(Self, BackgroundTasks), StartError> {
         let (events_in, events) = mpsc::unbounded_channel();
@@ -121,6 +123,8 @@
         let (watch_in, watch_requests) = watch::channel(());
         let (transferred_in, transferred) = mpsc::unbounded_channel();
         let (discovery_address, agent) = watch::channel(config.discovery_address.clone());
+        let (reloader, reload) =
+            ConfigurationReloader::new(environment.config_path, discovery_address, events_in.clone());
         let notification_gate = Arc::new(Semaphore::new(1));
         let budget = ResourceBudget::new(&config.limits, parsed.settings.max_in_flight_calls);
         let parameters = EventLoopParameters {
@@ -128,7 +132,7 @@
             seed: config.seed(),
             endpoint_sockets: budget.endpoint_sockets,
             disk_bytes: config.limits.disk_bytes(),
-            state_folder,
+            state_folder: environment.state_folder,
             channels: Channels {
                 events: events_in.clone(),
                 notifications: notifications_in,
@@ -144,6 +148,7 @@
             transferred,
             notification_gate: notification_gate.clone(),
             agent: agent.clone(),
+            reload: reload.clone(),
             watch_requests,
             configured_endpoints: config.endpoints,
             initial_watch_delay: Duration::ZERO,
@@ -155,7 +160,8 @@
             notification_gate,
             phase,
             agent,
-            discovery_address,
+            reloader,
+            reload,
         };
         Ok((gateway, background))
     }
@@ -185,7 +191,8 @@
                 self.event_loop.apply_constraints(constraints);
             }
         }
-        spawn_local(predecessor.follow(self.parameters.channels.events.clone(), self.clients.clone()));
+        let events = self.parameters.channels.events.clone();
+        spawn_local(predecessor.follow(events, self.clients.clone(), self.reload.clone()));
         Ok(listener)
     }
 
@@ -197,6 +204,7 @@
     /// failed.
     pub async fn serve(mut self, mut listener: TcpListener) -> Result<(), StartError> {
         loop {
+            self.reload.request(ReloadReason::EnteringService);
             let intake = self.start_intake(listener);
             let handovers = self.ownership.listen_for_successor();
             let Some(successor) = self.run_until_handover_request(&handovers).await else { return Ok(()) };
--- a/src/bin/delivery-gateway/handover/messages.rs
+++ b/src/bin/delivery-gateway/handover/messages.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use delivery_gateway::{EndpointId, MessageId};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::time::Duration;
 
 use crate::event_loop::CarriedOverConstraints;
@@ -22,13 +22,25 @@
 pub enum ToPredecessor {
     /// Asks for the handover. Must be the first message. Processes with the same fingerprint can exchange a handover
     /// snapshot.
-    Hello { format: u32, fingerprint: u32 },
+    Hello {
+        format: u32,
+        fingerprint: u32,
+        /// Whether the successor's build knows [`ToSuccessor::ReloadConfiguration`]. False if the message ends before
+        /// this field, as that of an older build does.
+        #[serde(deserialize_with = "false_if_missing")]
+        accepts_reload_requests: bool,
+    },
     /// Stops an in-flight call of the predecessor, which is identified by one of its messages.
     CancelCall { message: MessageId, reason: StopReason },
     /// The result of an [`AdminRequest`](ToSuccessor::AdminRequest).
     AdminResult { request: u64, result: AdminResult },
 }
 
+/// Reads the last field of a message, which messages of older builds lack.
+fn false_if_missing<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
+    Ok(bool::deserialize(deserializer).unwrap_or_default())
+}
+
 /// Messages from the predecessor, which is the old process.
 #[derive(Serialize, Deserialize)]
 pub enum ToSuccessor {
@@ -51,6 +63,9 @@
     AcceptanceNotReceived(MessageId),
     /// A request of an operator at the predecessor's admin endpoint. `request` identifies it in the result.
     AdminRequest { request: u64, operation: AdminOperation },
+    /// The configuration file may have been replaced: the predecessor got SIGHUP. Sent only if the successor's `Hello`
+    /// says that it accepts this message.
+    ReloadConfiguration,
 }
 
 /// The state that the successor needs in addition to the journal.
--- a/src/bin/delivery-gateway/handover/predecessor.rs
+++ b/src/bin/delivery-gateway/handover/predecessor.rs
@@ -55,16 +55,21 @@
             let hello = timeout(ANSWER_TIMEOUT, reader.next()).await;
             let Ok(Some(Received { message, .. })) = hello else { continue };
             match message {
-                ToPredecessor::Hello { format: FORMAT, fingerprint: successor_fingerprint } => {
+                ToPredecessor::Hello {
+                    format: FORMAT,
+                    fingerprint: successor_fingerprint,
+                    accepts_reload_requests,
+                } => {
                     return SuccessorConnection {
                         has_same_fingerprint: successor_fingerprint == fingerprint,
+                        accepts_reload_requests,
                         reader,
                         writer,
                     };
                 }
                 _ => {
                     warn!("refused a handover: the first message is not a hello in this message format");
-                    SuccessorConnection { has_same_fingerprint: false, reader, writer }.refuse().await;
+                    refuse(writer).await;
                 }
             }
         }
@@ -96,6 +101,7 @@
     /// Whether it has the same fingerprint. It then continues from a handover snapshot, and this process finishes its
     /// calls in flight.
     pub has_same_fingerprint: bool,
+    accepts_reload_requests: bool,
     reader: FrameReader,
     writer: FrameWriter,
 }
@@ -115,8 +121,7 @@
 impl SuccessorConnection {
     /// Refuses the handover.
     pub async fn refuse(self) {
-        self.writer.sender().send(&ToSuccessor::Refused);
-        self.writer.finish().await;
+        refuse(self.writer).await;
     }
 
     /// Hands over, and relays clients' connections, the results of the calls in flight and operators' requests. Returns
@@ -136,8 +141,8 @@
         }
         event_loop.pause_idle_connections();
         info!("handing over to another process");
-        let SuccessorConnection { mut reader, writer, .. } = self;
-        let mut relay = Relay::new(event_loop, writer.sender());
+        let SuccessorConnection { mut reader, writer, accepts_reload_requests, .. } = self;
+        let mut relay = Relay::new(event_loop, writer.sender(), accepts_reload_requests);
         let end = relay.run(&mut reader, events, transferred).await;
         match end {
             RelayEnd::ShutDown => {
@@ -166,6 +171,11 @@
     }
 }
 
+async fn refuse(writer: FrameWriter) {
+    writer.sender().send(&ToSuccessor::Refused);
+    writer.finish().await;
+}
+
 /// The reason why the relay has ended.
 enum RelayEnd {
     /// A shutdown of this process was requested, and its calls have ended or were aborted at the exit deadline.
@@ -180,6 +190,7 @@
 struct Relay<'a> {
     event_loop: &'a mut EventLoop,
     successor: FrameSender,
+    accepts_reload_requests: bool,
     /// The messages of the calls in flight in this process.
     in_flight: HashSet<MessageId>,
     /// Events that this process handles if the successor ends early.
@@ -192,11 +203,12 @@
 }
 
 impl<'a> Relay<'a> {
-    fn new(event_loop: &'a mut EventLoop, successor: FrameSender) -> Self {
+    fn new(event_loop: &'a mut EventLoop, successor: FrameSender, accepts_reload_requests: bool) -> Self {
         Relay {
             in_flight: event_loop.in_flight_messages(),
             event_loop,
             successor,
+            accepts_reload_requests,
             retained_events: Vec::new(),
             admin_replies: HashMap::new(),
             last_request_number: 0,
@@ -295,6 +307,12 @@
                 self.successor.send(&ToSuccessor::AdminRequest { request, operation });
             }
             GatewayEvent::Terminate => self.event_loop.handle(GatewayEvent::Terminate),
+            GatewayEvent::ReloadRequested if self.accepts_reload_requests => {
+                self.successor.send(&ToSuccessor::ReloadConfiguration);
+            }
+            GatewayEvent::ReloadRequested => {
+                warn!("the successor is of an older build: it does not hear of the new configuration");
+            }
             // The process that is in service watches the endpoint list anew.
             GatewayEvent::Discovery(_) => {}
         }
--- a/src/bin/delivery-gateway/handover/successor.rs
+++ b/src/bin/delivery-gateway/handover/successor.rs
@@ -20,7 +20,9 @@
 use super::messages::{BeginState, ToPredecessor, ToSuccessor, FORMAT};
 use super::timing::{ANSWER_TIMEOUT, CALL_DRAIN_TIMEOUT, CLOSE_GRACE, RETRY_DELAY};
 use crate::event_loop::{CarriedOverConstraints, HandoverSnapshot};
-use crate::events::{AdminOperation, AttemptResult, CallResult, GatewayEvent, StopReason};
+use crate::events::{
+    AdminOperation, AttemptResult, CallResult, GatewayEvent, ReloadReason, ReloadRequests, StopReason,
+};
 use crate::resp2::{ClientServer, TransferredConnection};
 
 /// The state and the resources that the predecessor has handed over.
@@ -90,7 +92,8 @@
         .await
         .map_err(|source| HandoverError::Connect { path: socket.to_owned(), source })?;
     let (mut reader, writer) = split(stream);
-    writer.sender().send(&ToPredecessor::Hello { format: FORMAT, fingerprint });
+    let hello = ToPredecessor::Hello { format: FORMAT, fingerprint, accepts_reload_requests: true };
+    writer.sender().send(&hello);
     let answer = timeout(CALL_DRAIN_TIMEOUT + ANSWER_TIMEOUT, reader.next()).await;
     match answer.map_err(|_| HandoverError::NoAnswer)? {
         Some(Received { message: ToSuccessor::Begin(state), descriptors }) => {
@@ -138,9 +141,15 @@
         move |message, reason| sender.send(&ToPredecessor::CancelCall { message, reason })
     }
 
-    /// Takes over the predecessor's clients, the results of its calls and its operators' requests until it has ended.
-    /// Calls that are still in flight then count as reset, because an endpoint may have processed them.
-    pub async fn follow(mut self, events: UnboundedSender<GatewayEvent>, clients: ClientServer) {
+    /// Takes over the predecessor's clients, the results of its calls, its operators' requests and its requests to
+    /// read the configuration until it has ended. Calls that are still in flight then count as reset, because an
+    /// endpoint may have processed them.
+    pub async fn follow(
+        mut self,
+        events: UnboundedSender<GatewayEvent>,
+        clients: ClientServer,
+        reload: ReloadRequests,
+    ) {
         while let Some(Received { message, descriptors }) = self.reader.next().await {
             match message {
                 ToSuccessor::ClientConnection { buffer, served, time_left } => {
@@ -156,9 +165,11 @@
                 ToSuccessor::AdminRequest { request, operation } => {
                     answer_admin_request(&events, self.writer.sender(), request, operation);
                 }
+                ToSuccessor::ReloadConfiguration => reload.request(ReloadReason::PredecessorRequest),
                 ToSuccessor::Refused | ToSuccessor::Begin(_) => {}
             }
         }
+        reload.request(ReloadReason::PredecessorEnded);
         sleep(CLOSE_GRACE).await;
         info!(broken_calls = self.in_flight.len(), "the previous process has ended");
         for (message, endpoint) in self.in_flight {
--- a/src/bin/delivery-gateway/handover/tests.rs
+++ b/src/bin/delivery-gateway/handover/tests.rs
@@ -23,14 +23,35 @@
 #[test]
 fn messages_to_the_predecessor_keep_their_bytes() {
     assert_eq!(FORMAT, 1);
-    let hello = ToPredecessor::Hello { format: FORMAT, fingerprint: 300 };
-    assert_bytes(&hello, b"\x00\x01\xac\x02");
+    let hello = |accepts_reload_requests| ToPredecessor::Hello {
+        format: FORMAT,
+        fingerprint: 300,
+        accepts_reload_requests,
+    };
+    assert_bytes(&hello(true), b"\x00\x01\xac\x02\x01");
     let cancel = ToPredecessor::CancelCall { message: MessageId(7), reason: StopReason::Withdrawn };
     assert_bytes(&cancel, b"\x01\x07\x01");
     let result = ToPredecessor::AdminResult { request: 300, result: AdminResult::NotRecorded };
     assert_bytes(&result, b"\x02\xac\x02\x02");
 }
 
+/// Builds without reload requests send and expect a shorter `Hello`. Neither direction of an upgrade may fail at it.
+#[test]
+fn a_hello_is_read_across_builds_with_and_without_reload_requests() {
+    let older = b"\x00\x01\xac\x02";
+    let read = postcard::from_bytes(older).unwrap();
+    let expected = |message: &ToPredecessor, accepts: bool| {
+        matches!(message, ToPredecessor::Hello { format: FORMAT, fingerprint: 300, accepts_reload_requests }
+            if *accepts_reload_requests == accepts)
+    };
+    assert!(expected(&read, false));
+    let newer = ToPredecessor::Hello { format: FORMAT, fingerprint: 300, accepts_reload_requests: true };
+    let bytes = postcard::to_stdvec(&newer).unwrap();
+    // An older build reads the fields that it knows, and ignores the rest.
+    assert!(bytes.starts_with(older));
+    assert!(expected(&postcard::from_bytes(&bytes).unwrap(), true));
+}
+
 #[test]
 fn messages_to_the_successor_keep_their_bytes() {
     assert_bytes(&ToSuccessor::Refused, b"\x00");
@@ -56,6 +77,7 @@
     };
     assert_bytes(&ended, b"\x03\x03\x01\x07\x01\x05\x00\x00\x00\x00\x00");
     assert_bytes(&ToSuccessor::AcceptanceNotReceived(MessageId(7)), b"\x04\x07");
+    assert_bytes(&ToSuccessor::ReloadConfiguration, b"\x06");
     let operation = AdminOperation::EnableEndpoint("s-1".to_owned());
     assert_bytes(&ToSuccessor::AdminRequest { request: 1, operation }, b"\x05\x01\x01\x03s-1");
 }
--- a/src/bin/delivery-gateway/main.rs
+++ b/src/bin/delivery-gateway/main.rs
@@ -19,6 +19,7 @@
 mod notifications;
 mod ownership;
 mod rate_limited_log;
+mod reload;
 mod resp2;
 mod send_guard;
 mod signals;
@@ -78,14 +79,13 @@
 
     let name = config.name.clone();
     let listen_address = config.listen_address.clone();
-    let (mut gateway, background) =
-        Gateway::assemble(config, parsed, environment.state_folder, ownership).await?;
+    let (mut gateway, background) = Gateway::assemble(config, parsed, environment, ownership).await?;
     let listener = gateway.restore(handed_over, &listen_address).await?;
     let address = listener::local_address(&listener)
         .await
         .map_err(StartError::system("get the address of the listener"))?;
     info!(name, %address, "listening");
-    background.spawn(signals, environment.config_path, &admin);
+    background.spawn(signals, &admin);
     gateway.serve(listener).await
 }
 
--- a/tests/environment/mod.rs
+++ b/tests/environment/mod.rs
@@ -710,6 +710,10 @@
         self.signal("HUP");
     }
 
+    pub fn send_sigkill(&self) {
+        self.signal("KILL");
+    }
+
     fn signal(&self, name: &str) {
         let signal = format!("kill -{name} {}", self.process.child.id());
         assert!(Command::new("/bin/sh").args(["-c", &signal]).status().unwrap().success());
