Answer every request that has been read in part before a process ends

Cause: the end of the process (event_loop/mod.rs, can_exit) asked for pending messages, calls and unwritten records, but not for requests that were read in part: waiting for bytes, for a permit, for a slot, or behind another. A refused client that stayed connected kept its permit until its connection closed, up to 4 s more (connection.rs, run), so that others waited beyond their time. A predecessor in its relay exited in the same way (predecessor.rs, can_exit). Ruled out: each request that reaches the event loop is answered.

Change: connection slots count open requests; event_loop/shutdown.rs, taken out of mod.rs, says in one place when a process may exit. A permit is freed before its client is refused, and the wait for it follows phase changes and evictions. A request that got no permit in time is refused with -BUSY instead of -ERR: it was never taken on.

--- a/src/bin/delivery-gateway/event_loop/mod.rs
+++ b/src/bin/delivery-gateway/event_loop/mod.rs
@@ -1,7 +1,7 @@
 //! The event loop: the single owner of the gateway's state. It handles the events of all other parts, asks the
 //! scheduler for decisions, and executes its actions. It waits only for events and timers.
 //!
-//! This module has the loop itself, the dispatch of events and of actions, and the shutdown. Its submodules:
+//! This module has the loop itself, and the dispatch of events and of actions. Its submodules:
 //!
 //! - [`admission`]: answers enqueue requests.
 //! - [`delivery`]: starts attempts and records their results; [`in_flight`]: tracks attempts in flight.
@@ -9,6 +9,7 @@
 //! - [`endpoints`]: applies changes of the endpoint list; [`operations`]: executes requests of operators.
 //! - [`persisted_circuits`]: writes the state of circuits and of slow starts to the journal.
 //! - [`recovery`]: restores the state from the journal; [`takeover`]: passes the state between processes.
+//! - [`shutdown`]: decides when the process may exit.
 //! - [`reporting`]: counters and log lines.
 //! - [`catalog`], [`pending_index`]: look up classes, tenants and pending messages by name.
 
@@ -23,6 +24,7 @@
 mod persisted_circuits;
 mod recovery;
 mod reporting;
+mod shutdown;
 mod takeover;
 
 pub use takeover::{CarriedOverConstraints, HandoverSnapshot};
@@ -33,7 +35,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{interval, sleep_until, Instant};
-use tracing::info;
 
 use self::catalog::Catalog;
 use self::in_flight::InFlightCalls;
@@ -41,9 +42,10 @@
 use self::pending_index::PendingIndex;
 use self::persisted_circuits::PersistedCircuitWriter;
 use self::reporting::{JournalErrorLog, LoadCounters, RateLimitedLines, REPORT_SWEEPS};
+use self::shutdown::Shutdown;
 use crate::clock::Clock;
 use crate::completed_messages::CompletedMessages;
-use crate::events::{Channels, GatewayEvent, ServicePhase, StopReason};
+use crate::events::{Channels, GatewayEvent, StopReason};
 use crate::http_client::Pool;
 use crate::journal::{FinalOutcome, Journal};
 use crate::send_guard::SendGuard;
@@ -52,28 +54,11 @@
 const MAX_EVENTS_PER_STEP: usize = 256;
 /// The interval between sweeps. Each closes expired idle connections; every [`REPORT_SWEEPS`]th logs the load.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// The maximum time from SIGTERM to the end of the process. The platform sends SIGKILL after 3.7 s.
-const MAX_SHUTDOWN_TIME: Duration = Duration::from_millis(3200);
-/// The minimum time from SIGTERM to the end of the process. New connections continue to arrive for 0.4 s.
-const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(600);
-/// The number of rounds at the end of the process in which requests that have been read are still answered.
-const FINAL_REPLY_ROUNDS: usize = 8;
 
 /// The number of idle connections kept per call slot. Most endpoints have few calls in flight at a time, so the gateway
 /// needs far more connections than slots to keep one ready at each endpoint.
 pub const IDLE_CONNECTIONS_PER_SLOT: usize = 4;
 
-/// The time window in which the process ends after a shutdown request.
-#[derive(Clone, Copy)]
-struct Shutdown {
-    /// From this time on, the process ends as soon as no message is pending, no call is in flight and all records are
-    /// written.
-    earliest: Instant,
-    /// The process ends at this time even if that is not the case. Only a predecessor that still relays events to its
-    /// successor ends a moment later.
-    latest: Instant,
-}
-
 /// A timer set by the scheduler.
 #[derive(Clone, Copy)]
 struct Timer {
@@ -191,20 +176,37 @@
 
     /// Runs until the process may exit after a shutdown request.
     pub async fn run(&mut self, events: &mut UnboundedReceiver<GatewayEvent>) {
+        self.run_while(events, |event_loop| !event_loop.can_exit()).await;
+    }
+
+    /// Runs until the future is dropped, also if the process may exit.
+    pub async fn run_on(&mut self, events: &mut UnboundedReceiver<GatewayEvent>) {
+        self.run_while(events, |_| true).await;
+    }
+
+    /// Runs while the condition holds after a step.
+    async fn run_while(
+        &mut self,
+        events: &mut UnboundedReceiver<GatewayEvent>,
+        continues: impl Fn(&EventLoop) -> bool,
+    ) {
         let mut sweep = interval(SWEEP_INTERVAL);
         let mut sweeps = 0;
         let mut batch = Vec::with_capacity(MAX_EVENTS_PER_STEP);
+        let mut open_requests = self.open_requests();
         self.decide();
         loop {
             let timer = self.timer.map(|timer| timer.due);
             // Disabled branches of `select!` need a time, which is never waited for.
             let unused = Instant::now() + SWEEP_INTERVAL;
-            let end = self.exit_deadline();
+            let exit_check = self.next_exit_check();
+            let awaits_clients = self.awaits_clients();
             tokio::select! {
                 biased;
                 _ = events.recv_many(&mut batch, MAX_EVENTS_PER_STEP) => {}
                 () = sleep_until(timer.unwrap_or(unused)), if timer.is_some() => {}
-                () = sleep_until(end.unwrap_or(unused)), if end.is_some() => {}
+                () = sleep_until(exit_check.unwrap_or(unused)), if exit_check.is_some() => {}
+                _ = open_requests.wait_for(|open| *open == 0), if awaits_clients => {}
                 () = sleep_until(self.flush_retry_at.unwrap_or(unused)), if self.flush_retry_at.is_some() => {}
                 _ = sweep.tick() => {
                     self.pool.close_expired();
@@ -215,8 +217,8 @@
                 }
             }
             self.step(batch.drain(..));
-            if self.can_exit() {
-                return self.answer_remaining_requests(events).await;
+            if !continues(self) {
+                return;
             }
         }
     }
@@ -304,51 +306,4 @@
             Action::StartAttempt { .. } => {}
         }
     }
-
-    fn request_shutdown(&mut self, now: Time) {
-        if self.shutdown.is_some() {
-            return;
-        }
-        let requested_at = Instant::now();
-        info!(
-            pending = self.journal.state.pending.len(),
-            in_flight = self.in_flight.len(),
-            "shutdown requested"
-        );
-        self.shutdown = Some(Shutdown {
-            earliest: requested_at + MIN_SHUTDOWN_TIME,
-            latest: requested_at + MAX_SHUTDOWN_TIME,
-        });
-        self.scheduler.handle(now, Event::ShutdownScheduled(now + MAX_SHUTDOWN_TIME));
-        // During a handover, the connections move to the successor, which continues to serve them.
-        if *self.channels.phase.borrow() != ServicePhase::HandingOver {
-            self.channels.phase.send_replace(ServicePhase::ShuttingDown);
-        }
-    }
-
-    fn can_exit(&self) -> bool {
-        let Some(Shutdown { earliest, latest }) = self.shutdown else { return false };
-        let now = Instant::now();
-        // The next process needs all records in the journal.
-        let is_idle =
-            self.in_flight.is_empty() && self.journal.state.pending.is_empty() && self.journal.is_flushed();
-        now >= latest || (now >= earliest && is_idle)
-    }
-
-    /// Answers the requests that have been read but not answered. Closing their connections first would lose the
-    /// messages. The next process finds the accepted ones in the journal.
-    async fn answer_remaining_requests(&mut self, events: &mut UnboundedReceiver<GatewayEvent>) {
-        for _ in 0..FINAL_REPLY_ROUNDS {
-            self.process_queued(events);
-            // Lets the tasks of the connections write their replies.
-            tokio::task::yield_now().await;
-        }
-        let flushed = self.journal.flush();
-        self.journal_errors.log_failure(flushed);
-        info!(
-            pending = self.journal.state.pending.len(),
-            in_flight = self.in_flight.len(),
-            "shutdown completed"
-        );
-    }
 }
--- a/src/bin/delivery-gateway/event_loop/operations.rs
+++ b/src/bin/delivery-gateway/event_loop/operations.rs
@@ -54,7 +54,7 @@
         let phase = ServicePhase::in_service(on);
         self.channels.phase.send_if_modified(|current| {
             // Lame duck mode doesn't interrupt a shutdown or a handover.
-            let can_change = !matches!(*current, ServicePhase::ShuttingDown | ServicePhase::HandingOver);
+            let can_change = matches!(*current, ServicePhase::Serving | ServicePhase::LameDuck);
             let has_changed = can_change && *current != phase;
             if has_changed {
                 *current = phase;
--- a/src/bin/delivery-gateway/event_loop/takeover.rs
+++ b/src/bin/delivery-gateway/event_loop/takeover.rs
@@ -169,6 +169,9 @@
 
     /// Enters a phase, such as the one before a handover that has failed, and allows calls again.
     pub fn resume_phase(&mut self, phase: ServicePhase) {
+        if self.resume_shutdown() {
+            return;
+        }
         let now = self.clock.now();
         self.scheduler.handle(now, Event::LameDuck(phase == ServicePhase::LameDuck));
         self.scheduler.handle(now, Event::ShutdownScheduled(Time(u64::MAX)));
@@ -240,12 +243,6 @@
         self.in_flight.messages()
     }
 
-    /// Returns the time at which the process ends even if messages are pending or calls are in flight. None if no
-    /// shutdown was requested.
-    pub fn exit_deadline(&self) -> Option<Instant> {
-        self.shutdown.map(|shutdown| shutdown.latest)
-    }
-
     /// Closes idle connections and keeps no new ones, while another process makes the calls.
     pub fn pause_idle_connections(&self) {
         self.pool.set_max_idle(0);
--- a/src/bin/delivery-gateway/events.rs
+++ b/src/bin/delivery-gateway/events.rs
@@ -46,6 +46,8 @@
     ShuttingDown,
     /// Another process takes over: connections are transferred to it, even with a partly received request.
     HandingOver,
+    /// The process ends: each connection is closed once what has arrived on it is answered.
+    Closing,
 }
 
 impl ServicePhase {
@@ -70,6 +72,9 @@
     pub watch: watch::Sender<()>,
     /// To the tasks that serve clients and operators.
     pub phase: watch::Sender<ServicePhase>,
+    /// From the tasks that serve clients: the number of connections with an open request. Such a request has been read
+    /// in part, or waits for its reply.
+    pub open_requests: watch::Receiver<usize>,
 }
 
 /// The reason to read the configuration file again.
--- a/src/bin/delivery-gateway/gateway.rs
+++ b/src/bin/delivery-gateway/gateway.rs
@@ -122,6 +122,7 @@
         let (phase_in, phase) = watch::channel(ServicePhase::Serving);
         let (watch_in, watch_requests) = watch::channel(());
         let (transferred_in, transferred) = mpsc::unbounded_channel();
+        let (open_requests_in, open_requests) = watch::channel(0);
         let (discovery_address, agent) = watch::channel(config.discovery_address.clone());
         let (reloader, reload) =
             ConfigurationReloader::new(environment.config_path, discovery_address, events_in.clone());
@@ -138,12 +139,20 @@
                 notifications: notifications_in,
                 watch: watch_in,
                 phase: phase_in,
+                open_requests,
             },
         };
+        let clients = ClientServer::new(
+            budget.clients,
+            events_in.clone(),
+            phase.clone(),
+            transferred_in,
+            open_requests_in,
+        );
         let gateway = Gateway {
             event_loop: parameters.create_event_loop().await?,
             events,
-            clients: ClientServer::new(budget.clients, events_in.clone(), phase.clone(), transferred_in),
+            clients,
             parameters,
             transferred,
             notification_gate: notification_gate.clone(),
@@ -207,11 +216,15 @@
             self.reload.request(ReloadReason::EnteringService);
             let intake = self.start_intake(listener);
             let handovers = self.ownership.listen_for_successor();
-            let Some(successor) = self.run_until_handover_request(&handovers).await else { return Ok(()) };
+            let Some(successor) = self.run_until_handover_request(&handovers).await else {
+                self.end_service(intake).await;
+                return Ok(());
+            };
             if !successor.has_same_fingerprint && self.drain_calls().await.is_none() {
+                self.end_service(intake).await;
                 return Ok(());
             }
-            let Some(paused) = self.pause(intake).await? else { return Ok(()) };
+            let paused = self.pause(intake).await?;
             match self.hand_over(successor, &paused.listener).await {
                 HandoverResult::Completed => return Ok(()),
                 HandoverResult::Refused => self.event_loop.resume_phase(paused.phase),
@@ -274,25 +287,36 @@
     }
 
     /// Stops the intake. Each connection is transferred once the complete requests that were read from it have been
-    /// answered. A partly received request goes to the successor with its connection. None if the process may exit
-    /// first.
-    async fn pause(&mut self, intake: Intake) -> Result<Option<Paused>, StartError> {
+    /// answered. A partly received request goes to the successor with its connection. The process does not exit
+    /// meanwhile, even after a shutdown request: the transferred connections would be closed.
+    async fn pause(&mut self, intake: Intake) -> Result<Paused, StartError> {
         let phase = self.parameters.channels.phase.send_replace(ServicePhase::HandingOver);
         intake.watching.abort();
         let mut closing = spawn_local(self.notification_gate.clone().acquire_owned());
         let paused = async {
             let listener = intake.accepting.await;
             let permit = timeout(PAUSE_TIMEOUT, &mut closing).await;
-            let _ = timeout(PAUSE_TIMEOUT, self.clients.all_transferred()).await;
+            let _ = timeout(PAUSE_TIMEOUT, self.clients.all_transferred_or_closed()).await;
             (listener, permit)
         };
         let (listener, permit) = tokio::select! {
-            () = self.event_loop.run(&mut self.events) => return Ok(None),
             paused = paused => paused,
+            () = self.event_loop.run_on(&mut self.events) => unreachable!("the event loop runs on"),
         };
         let listener = listener.map_err(io::Error::other).map_err(StartError::system("stop accepting"))?;
         let permit = permit.ok().and_then(Result::ok).and_then(Result::ok);
-        Ok(Some(Paused { listener, phase, _gate: ClosedGate { closing, _permit: permit } }))
+        Ok(Paused { listener, phase, _gate: ClosedGate { closing, _permit: permit } })
+    }
+
+    /// Closes clients' connections, and those in the listener's queue, before the process exits.
+    async fn end_service(&mut self, intake: Intake) {
+        let clients = self.clients.clone();
+        let closed = async {
+            // The listener is closed as soon as its queue is empty.
+            drop(intake.accepting.await);
+            clients.all_transferred_or_closed().await;
+        };
+        self.event_loop.end_service(&mut self.events, closed).await;
     }
 
     /// Hands the service over, unless the journal lacks records that the successor needs. For a successor with the same
--- a/src/bin/delivery-gateway/handover/predecessor.rs
+++ b/src/bin/delivery-gateway/handover/predecessor.rs
@@ -178,7 +178,8 @@
 
 /// The reason why the relay has ended.
 enum RelayEnd {
-    /// A shutdown of this process was requested, and its calls have ended or were aborted at the exit deadline.
+    /// A shutdown of this process was requested. Its calls and its clients' open requests have ended, or were ended at
+    /// the exit deadline.
     ShutDown,
     /// The successor has ended, and a shutdown of this process was requested as well.
     SuccessorEndedInShutdown,
@@ -198,8 +199,9 @@
     /// The reply channels of operators' requests that the successor has not answered yet, by request number.
     admin_replies: HashMap<u64, oneshot::Sender<AdminResult>>,
     last_request_number: u64,
-    /// Whether the calls that were in flight at the exit deadline have been aborted.
-    has_aborted_calls: bool,
+    /// Whether the exit deadline has passed: the calls that were in flight have been aborted, and clients' connections
+    /// are being closed.
+    has_ended_service: bool,
 }
 
 impl<'a> Relay<'a> {
@@ -212,7 +214,7 @@
             retained_events: Vec::new(),
             admin_replies: HashMap::new(),
             last_request_number: 0,
-            has_aborted_calls: false,
+            has_ended_service: false,
         }
     }
 
@@ -225,11 +227,16 @@
         loop {
             let deadline = self.event_loop.exit_deadline();
             if deadline.is_some_and(|deadline| self.can_exit(deadline)) {
+                while let Ok(connection) = transferred.try_recv() {
+                    self.send_client(connection);
+                }
                 return RelayEnd::ShutDown;
             }
-            let wake_at = deadline.map(|at| if self.has_aborted_calls { at + FLUSH_TIMEOUT } else { at });
+            let wake_at = deadline.map(|at| if self.has_ended_service { at + FLUSH_TIMEOUT } else { at });
             // The disabled branch of `select!` needs a time, which is never waited for.
             let unused = Instant::now() + ANSWER_TIMEOUT;
+            let awaits_clients = self.event_loop.has_open_requests();
+            let mut open_requests = self.event_loop.open_requests();
             tokio::select! {
                 biased;
                 received = reader.next() => match received {
@@ -239,16 +246,21 @@
                 },
                 Some(connection) = transferred.recv() => self.send_client(connection),
                 Some(event) = events.recv() => self.handle_event(event),
+                _ = open_requests.wait_for(|open| *open == 0), if awaits_clients => {}
                 () = sleep_until(wake_at.unwrap_or(unused)), if wake_at.is_some() => {
-                    self.has_aborted_calls = true;
+                    self.has_ended_service = true;
                     self.event_loop.abort_calls_without_waiting();
+                    self.event_loop.close_clients();
                 }
             }
         }
     }
 
+    /// Returns whether this process may exit: its calls have ended, and no client's request is open. Connections with
+    /// open requests are transferred, or closed after the reply at the latest from the exit deadline on.
     fn can_exit(&self, deadline: Instant) -> bool {
-        self.in_flight.is_empty() || Instant::now() > deadline + FLUSH_TIMEOUT
+        let is_idle = self.in_flight.is_empty() && !self.event_loop.has_open_requests();
+        is_idle || Instant::now() > deadline + FLUSH_TIMEOUT
     }
 
     fn handle_message(&mut self, message: ToPredecessor) {
--- a/src/bin/delivery-gateway/resp2/connection.rs
+++ b/src/bin/delivery-gateway/resp2/connection.rs
@@ -1,6 +1,9 @@
 //! Serves one client connection: reads requests and replies to them in order. It closes the connection when the client
 //! exceeds a timeout or sends malformed RESP2, when the connection is evicted, and when the process shuts down or is a
 //! lame duck. During a handover it transfers the connection to the successor instead.
+//!
+//! A request of which a part has been read gets a reply before its connection is closed, whatever ends it. Each wait
+//! ends early when the service phase changes, so that neither a handover nor the end of the process waits for a client.
 
 use bytes::{Bytes, BytesMut};
 use delivery_gateway::socket::{disable_nagle, memory_backoff, try_transfer, write_all, Transfer};
@@ -11,11 +14,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc::UnboundedSender, oneshot, watch, SemaphorePermit};
 use tokio::task::yield_now;
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tracing::debug;
 
-use super::codec::{decode_request, Reply};
-use super::connection_slots::{ConnectionSlot, ConnectionState};
+use super::codec::{decode_request, Reply, RespError};
+use super::connection_slots::{ConnectionSlot, ConnectionSlots, ConnectionState};
 use super::drain::drain;
 use crate::events::{EnqueueReply, EnqueueRequest, GatewayEvent, ServicePhase};
 
@@ -74,8 +77,49 @@
     Data,
     /// The client has closed its side, or has sent nothing more on a connection that is to be closed.
     Closed,
+    /// The request is not complete, and its rest is not waited for any longer.
+    Incomplete(Refusal),
+    /// The service phase has changed.
+    PhaseChanged,
+}
+
+/// The reason why the request that is being read is refused, and the connection closed after the reply.
+#[derive(Debug)]
+enum Refusal {
+    /// The bytes are not a request.
+    Invalid(RespError),
     /// The request was not complete when its time limit passed or its connection was evicted.
     Incomplete,
+    /// No permit for a long request was free in time.
+    TooManyLongRequests,
+    /// The process ends.
+    ProcessEnds,
+}
+
+impl Refusal {
+    fn encode_reply(&self, output: &mut Vec<u8>) {
+        match self {
+            Refusal::Invalid(error) => Reply::Error(&error.to_string()).encode(output),
+            Refusal::Incomplete => Reply::Error("the request did not come to its end").encode(output),
+            Refusal::TooManyLongRequests | Refusal::ProcessEnds => Reply::Busy(None).encode(output),
+        }
+    }
+}
+
+/// The reason why no more requests are served on a connection.
+enum ServiceEnd {
+    /// Nothing is left to be answered, or nobody is left to answer.
+    Closed,
+    /// The successor continues, with this time limit for the bytes that the client has to send next.
+    HandedOver(Instant),
+    /// The request that is being read is refused.
+    Refused(Refusal),
+}
+
+/// The result of waiting for a permit for a long request.
+enum PermitOutcome<'a> {
+    Acquired(SemaphorePermit<'a>),
+    Refused(Refusal),
     /// The service phase has changed.
     PhaseChanged,
 }
@@ -121,53 +165,89 @@
     ///
     /// # Errors
     /// The connection is broken, or the client did not read a reply within [`WRITE_TIMEOUT`].
-    pub async fn run(mut self, mut deadline: Instant) -> io::Result<()> {
+    pub async fn run(mut self, deadline: Instant) -> io::Result<()> {
         disable_nagle(&self.stream);
-        let slots = self.slot.slots().clone();
-        let mut long_request: Option<SemaphorePermit> = None;
         if !self.input.is_empty() {
             self.slot.set_state(ConnectionState::PartialRequest);
         } else if self.answered > 0 {
             self.slot.set_state(ConnectionState::Idle);
         }
+        match self.serve_requests(deadline).await? {
+            ServiceEnd::Closed => Ok(()),
+            ServiceEnd::HandedOver(deadline) => {
+                self.transfer(deadline);
+                Ok(())
+            }
+            ServiceEnd::Refused(refusal) => self.refuse(refusal).await,
+        }
+    }
+
+    /// Serves requests one after the other. Holds a permit only while it reads a long request.
+    async fn serve_requests(&mut self, mut deadline: Instant) -> io::Result<ServiceEnd> {
+        let slots = self.slot.slots().clone();
+        let mut long_request: Option<SemaphorePermit> = None;
         loop {
             match decode_request(&mut self.input) {
                 Ok(Some(elements)) => {
                     if self.serve(&elements).await? == ServeOutcome::GatewayEnded {
-                        return Ok(());
+                        return Ok(ServiceEnd::Closed);
                     }
-                    if self.input.is_empty() {
-                        // Frees the memory of a long request before its permit is released.
-                        self.input = BytesMut::new();
+                    if self.input.len() < READ_BYTES {
+                        self.free_request_memory();
                         long_request = None;
                     }
                     deadline = self.await_next_request();
                     continue;
                 }
                 Ok(None) => {}
-                Err(error) => return self.refuse(&error.to_string()).await,
+                Err(error) => return Ok(ServiceEnd::Refused(Refusal::Invalid(error))),
             }
             self.flush().await?;
             if *self.phase.borrow() == ServicePhase::HandingOver {
-                self.transfer(deadline);
-                return Ok(());
+                return Ok(ServiceEnd::HandedOver(deadline));
             }
             if self.input.len() >= READ_BYTES && long_request.is_none() {
-                match timeout_at(deadline, slots.long_requests.acquire()).await {
-                    Ok(Ok(permit)) => long_request = Some(permit),
-                    Ok(Err(_)) | Err(_) => return self.refuse("too many long requests").await,
+                match self.acquire_permit(&slots, deadline).await {
+                    PermitOutcome::Acquired(permit) => long_request = Some(permit),
+                    PermitOutcome::Refused(refusal) => return Ok(ServiceEnd::Refused(refusal)),
+                    PermitOutcome::PhaseChanged => continue,
                 }
             }
             let was_between_requests = self.input.is_empty();
             match self.read(deadline).await? {
                 ReadOutcome::Data if was_between_requests => deadline = self.await_rest_of_request(),
                 ReadOutcome::Data | ReadOutcome::PhaseChanged => {}
-                ReadOutcome::Closed => return Ok(()),
-                ReadOutcome::Incomplete => return self.refuse("the request did not come to its end").await,
+                ReadOutcome::Closed => return Ok(ServiceEnd::Closed),
+                ReadOutcome::Incomplete(refusal) => return Ok(ServiceEnd::Refused(refusal)),
             }
         }
     }
 
+    /// Frees the memory of a long request, and keeps the bytes that follow it.
+    fn free_request_memory(&mut self) {
+        self.input = BytesMut::from(self.input.as_ref());
+    }
+
+    /// Waits for a permit to read a long request. Does not wait while the process ends.
+    async fn acquire_permit<'a>(
+        &mut self,
+        slots: &'a ConnectionSlots,
+        deadline: Instant,
+    ) -> PermitOutcome<'a> {
+        let is_closing = *self.phase.borrow_and_update() == ServicePhase::Closing;
+        let eviction = self.slot.eviction();
+        let refusal = tokio::select! {
+            biased;
+            Ok(permit) = slots.long_requests.acquire() => return PermitOutcome::Acquired(permit),
+            () = std::future::ready(()), if is_closing => Refusal::ProcessEnds,
+            () = sleep_until(deadline) => Refusal::TooManyLongRequests,
+            () = eviction.notified() => Refusal::TooManyLongRequests,
+            Ok(()) = self.phase.changed() => return PermitOutcome::PhaseChanged,
+        };
+        self.log_closing("no permit for a long request");
+        PermitOutcome::Refused(refusal)
+    }
+
     /// Sets the state after a reply, and returns the deadline of the next request, or of the rest of it.
     fn await_next_request(&self) -> Instant {
         if !self.input.is_empty() {
@@ -206,11 +286,13 @@
     async fn read(&mut self, deadline: Instant) -> io::Result<ReadOutcome> {
         let is_between_requests = self.input.is_empty();
         let phase = *self.phase.borrow_and_update();
-        if phase == ServicePhase::HandingOver {
-            return Ok(ReadOutcome::PhaseChanged);
-        }
-        if is_between_requests && phase != ServicePhase::Serving {
-            return self.read_last_request().await;
+        match phase {
+            ServicePhase::HandingOver => return Ok(ReadOutcome::PhaseChanged),
+            ServicePhase::Closing => return self.read_before_exit(is_between_requests).await,
+            ServicePhase::LameDuck | ServicePhase::ShuttingDown if is_between_requests => {
+                return self.read_last_request().await;
+            }
+            ServicePhase::Serving | ServicePhase::LameDuck | ServicePhase::ShuttingDown => {}
         }
         let eviction = self.slot.eviction();
         loop {
@@ -231,7 +313,7 @@
                     if is_between_requests {
                         return self.read_now().await;
                     }
-                    return Ok(ReadOutcome::Incomplete);
+                    return Ok(ReadOutcome::Incomplete(Refusal::Incomplete));
                 }
                 // The caller reads the new phase, and reads what has arrived meanwhile before it closes the connection.
                 Ok(()) = self.phase.changed() => return Ok(ReadOutcome::PhaseChanged),
@@ -246,20 +328,33 @@
     /// connection has [`LAST_REQUEST_TIMEOUT`] for its first request; on others only what has arrived is read.
     async fn read_last_request(&mut self) -> io::Result<ReadOutcome> {
         if self.answered == 0 {
-            if let Ok(outcome) = timeout(LAST_REQUEST_TIMEOUT, self.read_ready()).await {
-                return outcome;
+            let mut phase = self.phase.clone();
+            tokio::select! {
+                biased;
+                outcome = self.read_ready() => return outcome,
+                () = sleep(LAST_REQUEST_TIMEOUT) => {}
+                Ok(()) = phase.changed() => return Ok(ReadOutcome::PhaseChanged),
             }
         }
         self.log_closing("shutting down or lame duck");
         self.read_now().await
     }
 
+    /// Reads what has arrived before the process exits. A request whose rest has not arrived is refused.
+    async fn read_before_exit(&mut self, is_between_requests: bool) -> io::Result<ReadOutcome> {
+        self.log_closing("the process ends");
+        Ok(match self.read_now().await? {
+            ReadOutcome::Closed if !is_between_requests => ReadOutcome::Incomplete(Refusal::ProcessEnds),
+            outcome => outcome,
+        })
+    }
+
     /// Maps the last read of a connection evicted within a request. The rest of the request may be on its way: the
     /// client gets an error rather than a connection closed without a reply. If more of the request has arrived, the
     /// connection stays open.
     fn evicted_within_request(&self, outcome: ReadOutcome) -> ReadOutcome {
         match outcome {
-            ReadOutcome::Closed => ReadOutcome::Incomplete,
+            ReadOutcome::Closed => ReadOutcome::Incomplete(Refusal::Incomplete),
             ReadOutcome::Data => {
                 self.slot.set_state(ConnectionState::PartialRequest);
                 ReadOutcome::Data
@@ -415,13 +510,13 @@
 
     /// Sends an error reply and closes the connection: shuts down the sending side, and discards what still arrives
     /// until the client closes too, so that the error reply is not lost.
-    async fn refuse(mut self, error: &str) -> io::Result<()> {
-        debug!(number = self.number(), answered = self.answered, error, "refusing client connection");
-        self.slot.set_state(ConnectionState::Refused);
+    async fn refuse(mut self, refusal: Refusal) -> io::Result<()> {
+        debug!(number = self.number(), answered = self.answered, ?refusal, "refusing client connection");
         self.input = BytesMut::new();
-        Reply::Error(error).encode(&mut self.output);
+        refusal.encode_reply(&mut self.output);
         self.flush().await?;
         self.stream.shutdown().await?;
+        self.slot.set_state(ConnectionState::Refused);
         let eviction = self.slot.eviction();
         tokio::select! {
             drained = drain(&self.stream) => drained,
--- a/src/bin/delivery-gateway/resp2/connection_slots.rs
+++ b/src/bin/delivery-gateway/resp2/connection_slots.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{watch, Notify, Semaphore};
 use tokio::time::{timeout, Instant};
 
 /// While no slot is free, a connection that has waited this long for its first request is evicted before idle ones.
@@ -43,6 +43,14 @@
     Evicted,
 }
 
+impl ConnectionState {
+    /// Returns whether a request is open: a part of it has been read, and it has no reply. An evicted connection may
+    /// have one.
+    fn has_open_request(self) -> bool {
+        matches!(self, ConnectionState::PartialRequest | ConnectionState::Serving | ConnectionState::Evicted)
+    }
+}
+
 /// The order in which connections are evicted, first to last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum EvictionRank {
@@ -83,10 +91,24 @@
         Some((rank, self.since))
     }
 
-    fn evict(&mut self) {
-        self.state = ConnectionState::Evicted;
+    fn evict(&mut self, open_requests: &watch::Sender<usize>) {
+        self.enter(ConnectionState::Evicted, open_requests);
         self.evict.notify_one();
     }
+
+    fn enter(&mut self, state: ConnectionState, open_requests: &watch::Sender<usize>) {
+        count_transition(open_requests, self.state.has_open_request(), state.has_open_request());
+        self.state = state;
+    }
+}
+
+/// Counts that a connection had an open request before a transition, and has one after it.
+fn count_transition(open_requests: &watch::Sender<usize>, before: bool, after: bool) {
+    match (before, after) {
+        (false, true) => open_requests.send_modify(|count| *count += 1),
+        (true, false) => open_requests.send_modify(|count| *count -= 1),
+        _ => {}
+    }
 }
 
 #[derive(Default)]
@@ -100,19 +122,23 @@
     max_connections: usize,
     max_idle: usize,
     table: RefCell<SlotTable>,
-    /// Notified when a slot has been freed, or an evicted connection stays open.
+    /// The number of connections with an open request.
+    open_requests: watch::Sender<usize>,
+    /// Notified when a slot has been freed, an evicted connection stays open, or a connection has been refused.
     changed: Notify,
     /// One permit for each long request that may be read at the same time.
     pub long_requests: Semaphore,
 }
 
 impl ConnectionSlots {
-    /// Creates slots that are all free.
-    pub fn new(limits: ClientLimits) -> Self {
+    /// Creates slots that are all free. Publishes the number of connections with an open request through
+    /// `open_requests`.
+    pub fn new(limits: ClientLimits, open_requests: watch::Sender<usize>) -> Self {
         ConnectionSlots {
             max_connections: limits.connections,
             max_idle: limits.idle,
             table: RefCell::default(),
+            open_requests,
             changed: Notify::new(),
             long_requests: Semaphore::new(limits.long_requests),
         }
@@ -167,7 +193,7 @@
         let candidates =
             table.occupied.values_mut().filter_map(|slot| Some((slot.eviction_order(now)?, slot)));
         if let Some((_, slot)) = candidates.min_by_key(|(order, _)| *order) {
-            slot.evict();
+            slot.evict(&self.open_requests);
         }
     }
 
@@ -180,7 +206,7 @@
             return;
         }
         if let Some(oldest) = idle.iter_mut().min_by_key(|slot| slot.since) {
-            oldest.evict();
+            oldest.evict(&self.open_requests);
         }
     }
 }
@@ -211,9 +237,12 @@
                 // The evicted connection stays open, so another one has to be evicted.
                 self.slots.changed.notify_one();
             }
-            slot.state = state;
+            slot.enter(state, &self.slots.open_requests);
             slot.since = Instant::now();
         }
+        if state == ConnectionState::Refused {
+            self.slots.changed.notify_one();
+        }
         if state == ConnectionState::Idle {
             self.slots.limit_idle();
         }
@@ -222,7 +251,9 @@
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.slots.table.borrow_mut().occupied.remove(&self.number);
+        if let Some(slot) = self.slots.table.borrow_mut().occupied.remove(&self.number) {
+            count_transition(&self.slots.open_requests, slot.state.has_open_request(), false);
+        }
         self.slots.changed.notify_one();
     }
 }
--- a/src/bin/delivery-gateway/resp2/server.rs
+++ b/src/bin/delivery-gateway/resp2/server.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc::UnboundedSender, watch};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 use tracing::{debug, warn};
 
 use super::connection::{ClientConnection, TransferredConnection};
@@ -19,6 +19,8 @@
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// The pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// The time without a new connection after which the listener's queue counts as empty when the process ends.
+const EMPTY_QUEUE_WAIT: Duration = Duration::from_millis(10);
 
 /// The server of this process for clients. Clones share the connection slots.
 #[derive(Clone)]
@@ -31,37 +33,41 @@
 
 impl ClientServer {
     /// Creates a server without connections. It sends requests to the event loop through `events` and, during a
-    /// handover, connections to the successor through `transfers`.
+    /// handover, connections to the successor through `transfers`. It publishes the number of connections with an open
+    /// request through `open_requests`.
     pub fn new(
         limits: ClientLimits,
         events: UnboundedSender<GatewayEvent>,
         phase: watch::Receiver<ServicePhase>,
         transfers: UnboundedSender<TransferredConnection>,
+        open_requests: watch::Sender<usize>,
     ) -> Self {
-        ClientServer { slots: Rc::new(ConnectionSlots::new(limits)), events, phase, transfers }
+        let slots = Rc::new(ConnectionSlots::new(limits, open_requests));
+        ClientServer { slots, events, phase, transfers }
     }
 
-    /// Accepts connections until the process hands over, and then returns the listener with the connections in its
-    /// queue. A failed accept is logged and retried after [`ACCEPT_BACKOFF`].
+    /// Accepts connections until the process hands over or ends, and then returns the listener: on a handover with the
+    /// connections in its queue, and at the end with an empty queue. A failed accept is logged and retried after
+    /// [`ACCEPT_BACKOFF`].
     pub async fn serve(mut self, listener: TcpListener) -> TcpListener {
         let mut failures = RateLimitedLog::default();
         let slots = self.slots.clone();
         loop {
-            if *self.phase.borrow_and_update() == ServicePhase::HandingOver {
-                return listener;
+            let phase = *self.phase.borrow_and_update();
+            match phase {
+                ServicePhase::HandingOver => return listener,
+                ServicePhase::Closing => {
+                    self.accept_queued(&listener).await;
+                    return listener;
+                }
+                ServicePhase::Serving | ServicePhase::LameDuck | ServicePhase::ShuttingDown => {}
             }
             let accepted = tokio::select! {
                 accepted = accept(&listener, &slots) => accepted,
                 Ok(()) = self.phase.changed() => continue,
             };
             match accepted {
-                Ok((stream, unread_for)) => self.adopt(TransferredConnection {
-                    stream,
-                    buffer: Bytes::new(),
-                    served: false,
-                    time_left: FIRST_REQUEST_TIMEOUT,
-                    unread_for,
-                }),
+                Ok((stream, unread_for)) => self.adopt_new(stream, unread_for),
                 Err(error) => {
                     if let Some(suppressed) = failures.due() {
                         warn!(%error, suppressed, "cannot accept a client connection; retrying");
@@ -72,6 +78,27 @@
         }
     }
 
+    /// Accepts the connections that wait in the listener's queue, until it is empty or no slot becomes free.
+    async fn accept_queued(&self, listener: &TcpListener) {
+        while let Ok(accepted) = timeout(EMPTY_QUEUE_WAIT, accept(listener, &self.slots)).await {
+            match accepted {
+                Ok((stream, unread_for)) => self.adopt_new(stream, unread_for),
+                Err(_) => sleep(EMPTY_QUEUE_WAIT).await,
+            }
+        }
+    }
+
+    /// Serves a new connection, whose first request may have waited unread for `unread_for`.
+    fn adopt_new(&self, stream: TcpStream, unread_for: Duration) {
+        self.adopt(TransferredConnection {
+            stream,
+            buffer: Bytes::new(),
+            served: false,
+            time_left: FIRST_REQUEST_TIMEOUT,
+            unread_for,
+        });
+    }
+
     /// Spawns the local task that serves a connection from the state that it is in.
     pub fn adopt(&self, transferred: TransferredConnection) {
         let time_left = transferred.time_left;
@@ -93,7 +120,7 @@
     }
 
     /// Waits until all connections but refused ones have been transferred or closed.
-    pub async fn all_transferred(&self) {
+    pub async fn all_transferred_or_closed(&self) {
         self.slots.all_closed_but_refused().await;
     }
 }
