Answer the requests behind a long request that is refused for want of a permit

Callers would see: a client that pipelines a short request behind a long one, which gets no permit in time because others hold them, has no answer to the short one, though its last byte was written.

Cause: connection.rs refused the long request and closed the connection, and drain.rs discarded what followed.

Change: the refused request is skipped without keeping its bytes (codec.rs, RequestSkipper; its time limit is that of a partial request, and neither a handover nor the end of the process waits for it), and the connection goes on.

Measured: requests_behind_a_refused_long_request_are_answered failed before the change (empty reply in place of -BUSY and +OK) and passes with it; a property test compares the end of a skipped request with that of a decoded one.

--- a/src/bin/delivery-gateway/resp2/codec.rs
+++ b/src/bin/delivery-gateway/resp2/codec.rs
@@ -105,6 +105,45 @@
     Ok(Some(spans.into_iter().map(|span| frame.slice(span)).collect()))
 }
 
+/// Skips a request without keeping its bytes.
+#[derive(Default)]
+pub struct RequestSkipper {
+    /// The number of elements whose length has not been read. None before the header.
+    elements_left: Option<usize>,
+    /// The number of bytes left of the current element and its line end.
+    bytes_left: usize,
+}
+
+impl RequestSkipper {
+    /// Removes bytes of the request from the buffer. Returns whether the request has ended; the buffer then begins with
+    /// the next request.
+    ///
+    /// # Errors
+    /// The bytes are not a request, or the request is too long.
+    pub fn skip(&mut self, buffer: &mut BytesMut) -> Result<bool, RespError> {
+        loop {
+            let skipped = self.bytes_left.min(buffer.len());
+            buffer.advance(skipped);
+            self.bytes_left -= skipped;
+            if self.bytes_left > 0 || self.elements_left == Some(0) {
+                return Ok(self.bytes_left == 0);
+            }
+            let prefix = if self.elements_left.is_none() { b'*' } else { b'$' };
+            let Some(line) = length_line(buffer, 0, prefix)? else { return Ok(false) };
+            buffer.advance(line.end);
+            match self.elements_left {
+                None if line.value > MAX_ELEMENTS => return Err(RespError::TooLong),
+                None => self.elements_left = Some(line.value),
+                Some(_) if line.value > MAX_MESSAGE_BODY_BYTES => return Err(RespError::TooLong),
+                Some(count) => {
+                    self.elements_left = Some(count - 1);
+                    self.bytes_left = line.value + LINE_END.len();
+                }
+            }
+        }
+    }
+}
+
 /// A line that holds a count or a length.
 struct LengthLine {
     value: usize,
--- a/src/bin/delivery-gateway/resp2/connection.rs
+++ b/src/bin/delivery-gateway/resp2/connection.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use delivery_gateway::socket::{disable_nagle, memory_backoff, try_transfer, write_all, Transfer};
 use socket2::SockRef;
+use std::future::ready;
 use std::io::{self, Read};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -17,7 +18,7 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tracing::debug;
 
-use super::codec::{decode_request, Reply, RespError};
+use super::codec::{decode_request, Reply, RequestSkipper, RespError};
 use super::connection_slots::{ConnectionSlot, ConnectionSlots, ConnectionState};
 use super::drain::drain;
 use crate::events::{EnqueueReply, EnqueueRequest, GatewayEvent, ServicePhase};
@@ -90,8 +91,6 @@
     Invalid(RespError),
     /// The request was not complete when its time limit passed or its connection was evicted.
     Incomplete,
-    /// No permit for a long request was free in time.
-    TooManyLongRequests,
     /// The process ends.
     ProcessEnds,
 }
@@ -101,7 +100,7 @@
         match self {
             Refusal::Invalid(error) => Reply::Error(&error.to_string()).encode(output),
             Refusal::Incomplete => Reply::Error("the request did not come to its end").encode(output),
-            Refusal::TooManyLongRequests | Refusal::ProcessEnds => Reply::Busy(None).encode(output),
+            Refusal::ProcessEnds => Reply::Busy(None).encode(output),
         }
     }
 }
@@ -114,12 +113,15 @@
     HandedOver(Instant),
     /// The request that is being read is refused.
     Refused(Refusal),
+    /// The request that is being read has been refused, and its rest has not arrived.
+    AlreadyRefused,
 }
 
 /// The result of waiting for a permit for a long request.
 enum PermitOutcome<'a> {
     Acquired(SemaphorePermit<'a>),
-    Refused(Refusal),
+    /// No permit was free in time, or the connection was evicted.
+    Unavailable,
     /// The service phase has changed.
     PhaseChanged,
 }
@@ -179,6 +181,7 @@
                 Ok(())
             }
             ServiceEnd::Refused(refusal) => self.refuse(refusal).await,
+            ServiceEnd::AlreadyRefused => self.close_after_reply().await,
         }
     }
 
@@ -209,8 +212,14 @@
             if self.input.len() >= READ_BYTES && long_request.is_none() {
                 match self.acquire_permit(&slots, deadline).await {
                     PermitOutcome::Acquired(permit) => long_request = Some(permit),
-                    PermitOutcome::Refused(refusal) => return Ok(ServiceEnd::Refused(refusal)),
                     PermitOutcome::PhaseChanged => continue,
+                    PermitOutcome::Unavailable => {
+                        if let Some(end) = self.refuse_and_skip().await? {
+                            return Ok(end);
+                        }
+                        deadline = self.await_next_request();
+                        continue;
+                    }
                 }
             }
             let was_between_requests = self.input.is_empty();
@@ -236,16 +245,64 @@
     ) -> PermitOutcome<'a> {
         let is_closing = *self.phase.borrow_and_update() == ServicePhase::Closing;
         let eviction = self.slot.eviction();
-        let refusal = tokio::select! {
+        tokio::select! {
             biased;
-            Ok(permit) = slots.long_requests.acquire() => return PermitOutcome::Acquired(permit),
-            () = std::future::ready(()), if is_closing => Refusal::ProcessEnds,
-            () = sleep_until(deadline) => Refusal::TooManyLongRequests,
-            () = eviction.notified() => Refusal::TooManyLongRequests,
-            Ok(()) = self.phase.changed() => return PermitOutcome::PhaseChanged,
-        };
-        self.log_closing("no permit for a long request");
-        PermitOutcome::Refused(refusal)
+            Ok(permit) = slots.long_requests.acquire() => PermitOutcome::Acquired(permit),
+            () = ready(()), if is_closing => PermitOutcome::Unavailable,
+            () = sleep_until(deadline) => PermitOutcome::Unavailable,
+            () = eviction.notified() => PermitOutcome::Unavailable,
+            Ok(()) = self.phase.changed() => PermitOutcome::PhaseChanged,
+        }
+    }
+
+    /// Refuses the request that is being read, and skips the rest of it, so that the requests behind it are answered.
+    /// Returns how the service ends if that fails.
+    async fn refuse_and_skip(&mut self) -> io::Result<Option<ServiceEnd>> {
+        debug!(number = self.number(), "no permit for a long request: refusing it");
+        self.reply(Reply::Busy(None)).await?;
+        self.flush().await?;
+        self.answered += 1;
+        let deadline = Instant::now() + PARTIAL_REQUEST_TIMEOUT;
+        let mut skipper = RequestSkipper::default();
+        loop {
+            match skipper.skip(&mut self.input) {
+                Ok(true) => {
+                    self.free_request_memory();
+                    return Ok(None);
+                }
+                Ok(false) => {}
+                Err(error) => return Ok(Some(ServiceEnd::Refused(Refusal::Invalid(error)))),
+            }
+            if !self.read_more_to_skip(deadline).await? {
+                return Ok(Some(ServiceEnd::AlreadyRefused));
+            }
+        }
+    }
+
+    /// Reads more of a request that is skipped, and returns whether there was more. Waits only until the deadline, and
+    /// neither during a handover nor at the end of the process.
+    async fn read_more_to_skip(&mut self, deadline: Instant) -> io::Result<bool> {
+        let eviction = self.slot.eviction();
+        loop {
+            let phase = *self.phase.borrow_and_update();
+            let may_wait = !matches!(phase, ServicePhase::HandingOver | ServicePhase::Closing);
+            tokio::select! {
+                biased;
+                ready = self.stream.readable(), if may_wait => ready?,
+                () = ready(()), if !may_wait => return self.has_read_now().await,
+                () = eviction.notified() => return self.has_read_now().await,
+                () = sleep_until(deadline) => return self.has_read_now().await,
+                Ok(()) = self.phase.changed() => continue,
+            }
+            if let Some(outcome) = self.try_read().await? {
+                return Ok(matches!(outcome, ReadOutcome::Data));
+            }
+        }
+    }
+
+    /// Reads what has arrived, and returns whether there was anything.
+    async fn has_read_now(&mut self) -> io::Result<bool> {
+        Ok(matches!(self.read_now().await?, ReadOutcome::Data))
     }
 
     /// Sets the state after a reply, and returns the deadline of the next request, or of the rest of it.
@@ -512,8 +569,13 @@
     /// until the client closes too, so that the error reply is not lost.
     async fn refuse(mut self, refusal: Refusal) -> io::Result<()> {
         debug!(number = self.number(), answered = self.answered, ?refusal, "refusing client connection");
-        self.input = BytesMut::new();
         refusal.encode_reply(&mut self.output);
+        self.close_after_reply().await
+    }
+
+    /// Writes the remaining replies, and closes the connection as [`refuse`](Self::refuse) does.
+    async fn close_after_reply(mut self) -> io::Result<()> {
+        self.input = BytesMut::new();
         self.flush().await?;
         self.stream.shutdown().await?;
         self.slot.set_state(ConnectionState::Refused);
--- a/src/bin/delivery-gateway/resp2/tests.rs
+++ b/src/bin/delivery-gateway/resp2/tests.rs
@@ -1,7 +1,9 @@
 //! Tests the decoding of RESP2 requests (round trip, malformed input and limits), the parsing of `ENQUEUE`, and the
 //! encoding of replies.
 
-use super::codec::{decode_request, Reply, RespError, MAX_BYTES_BESIDE_BODY, MAX_MESSAGE_BODY_BYTES};
+use super::codec::{
+    decode_request, Reply, RequestSkipper, RespError, MAX_BYTES_BESIDE_BODY, MAX_MESSAGE_BODY_BYTES,
+};
 use bytes::{Bytes, BytesMut};
 use proptest::prelude::*;
 use std::time::Duration;
@@ -32,6 +34,31 @@
 }
 
 proptest! {
+    /// A request that is skipped ends where one that is decoded ends, however its bytes arrive. The requests behind it
+    /// would be misread otherwise.
+    #[test]
+    fn skipping_ends_at_the_next_request(
+        elements in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
+        behind in prop::collection::vec(any::<u8>(), 0..20),
+        part in 1_usize..60,
+    ) {
+        let request = encode(&elements);
+        let mut skipper = RequestSkipper::default();
+        let mut buffer = BytesMut::new();
+        let mut has_ended = false;
+        for bytes in request.chunks(part) {
+            prop_assert!(!has_ended, "the request ended before its last byte");
+            buffer.extend_from_slice(bytes);
+            has_ended = skipper.skip(&mut buffer).unwrap();
+        }
+        prop_assert!(has_ended && buffer.is_empty());
+
+        buffer.extend_from_slice(&request);
+        buffer.extend_from_slice(&behind);
+        prop_assert!(RequestSkipper::default().skip(&mut buffer).unwrap());
+        prop_assert_eq!(&buffer[..], &behind[..]);
+    }
+
     #[test]
     fn decoding_reverses_encoding_of_requests(
         requests in prop::collection::vec(prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 1..8), 1..4),
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -13,6 +13,10 @@
 const EARLIEST_EXIT: Duration = Duration::from_millis(600);
 /// The first bytes of a request that is too long to be read without a permit.
 const LONG_REQUEST_START: usize = 6000;
+/// The first bytes of a request that is read without a permit so far.
+const SHORT_REQUEST_START: usize = 100;
+/// The length of the longest element of that request.
+const LONG_ELEMENT: usize = 40_000;
 
 /// Connects a client, on whose connection a request has been answered.
 fn served_client(gateway: &RunningGateway) -> Client {
@@ -21,15 +25,26 @@
     client
 }
 
+/// Returns the first [`LONG_REQUEST_START`] bytes of a long request, which is rejected when it is complete.
+fn long_request_start() -> Vec<u8> {
+    let mut start = format!("*2\r\n$7\r\nUNKNOWN\r\n${LONG_ELEMENT}\r\n").into_bytes();
+    start.resize(LONG_REQUEST_START, b'x');
+    start
+}
+
+/// Returns the bytes that follow [`long_request_start`].
+fn rest_of_long_request() -> Vec<u8> {
+    let header = format!("*2\r\n$7\r\nUNKNOWN\r\n${LONG_ELEMENT}\r\n").len();
+    let mut rest = vec![b'x'; header + LONG_ELEMENT - LONG_REQUEST_START];
+    rest.extend(b"\r\n");
+    rest
+}
+
 /// Connects clients that hold all `permits` for long requests: each sends the start of one and stays.
 fn hold_long_request_permits(gateway: &RunningGateway, permits: usize) -> Vec<Client> {
     let clients = (0..permits).map(|_| {
         let mut client = served_client(gateway);
-        let mut start =
-            b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nb1\r\n$23\r\nd=20000,c=salary,dest=1\r\n$40000\r\n"
-                .to_vec();
-        start.resize(LONG_REQUEST_START, b'x');
-        client.send(&start);
+        client.send(&long_request_start());
         client
     });
     let clients = clients.collect();
@@ -102,6 +117,30 @@
     drop(bad);
 }
 
+/// A long request that gets no permit in time is refused, and its client may have sent more behind it. If the connection
+/// were closed with the refusal, these requests would be lost.
+#[test]
+fn requests_behind_a_refused_long_request_are_answered() {
+    let environment = with_two_permits();
+    let gateway = environment.start();
+    let mut client = served_client(&gateway);
+    let start = long_request_start();
+    client.send(&start[..SHORT_REQUEST_START]);
+    // Answered after these bytes have been read. The time limit of the request then ends before those of the holders.
+    served_client(&gateway);
+    thread::sleep(Duration::from_millis(100));
+    let holders = hold_long_request_permits(&gateway, 2);
+    client.send(&start[SHORT_REQUEST_START..]);
+    client.send(&rest_of_long_request());
+    client.send_enqueue("behind", "0", "salary", 1, b"x");
+    assert_eq!(client.read_line(), "-BUSY");
+    assert_eq!(client.read_line(), "+OK");
+    let call = environment.call();
+    assert_eq!(call.id, "behind");
+    call.answer("200 OK", "");
+    drop(holders);
+}
+
 /// During an upgrade too, a request that waits for a permit of the predecessor gets its reply: the predecessor has no
 /// other reason to stay after SIGTERM.
 #[test]
