--- a/src/bin/delivery-gateway/journal/chunks.rs
+++ b/src/bin/delivery-gateway/journal/chunks.rs
@@ -9,6 +9,14 @@
 /// The approximate size of each record of a list.
 const CHUNK_BYTES: usize = 1 << 20;
 
+/// Returns the size of an entry of a list in a record, in bytes.
+///
+/// # Errors
+/// The entry cannot be encoded.
+pub fn encoded_bytes(entry: &impl Serialize) -> postcard::Result<usize> {
+    postcard::serialize_with_flavor(entry, Size::default())
+}
+
 /// Splits a list into chunks of at most [`CHUNK_BYTES`]. An entry longer than that gets a chunk of its own.
 pub fn chunks<'a, T: Serialize + 'a>(
     list: impl IntoIterator<Item = &'a T>,
@@ -17,7 +25,7 @@
     let mut chunk = Vec::new();
     let mut chunk_bytes = 0;
     for entry in list {
-        let entry_bytes = postcard::serialize_with_flavor(entry, Size::default())?;
+        let entry_bytes = encoded_bytes(entry)?;
         if chunk_bytes + entry_bytes > CHUNK_BYTES && !chunk.is_empty() {
             chunks.push(std::mem::take(&mut chunk));
             chunk_bytes = 0;
--- a/src/bin/delivery-gateway/journal/mod.rs
+++ b/src/bin/delivery-gateway/journal/mod.rs
@@ -148,7 +148,7 @@
         }
         let number = self.state.last_number + 1;
         let message_bytes = live_bytes(&message);
-        self.space.check_live(self.live_bytes + message_bytes)?;
+        self.space.check_live(self.live_bytes + message_bytes, self.base_bytes())?;
         let tenant = message.tenant.clone();
         self.write_ahead(Record::Accepted { number, message })?;
         self.live_bytes += message_bytes;
@@ -320,18 +320,24 @@
     /// Appends whole frames. Compacts the journal first if the file would grow too large.
     fn append(&mut self, frames: &[u8]) -> Result<(), JournalError> {
         let added = frames.len() as u64;
+        let compacted_bytes = self.base_bytes() + self.live_bytes;
         let mut compacted = Ok(());
-        if self.space.needs_compaction(self.file.size() + added) && self.can_compact() {
+        if self.space.needs_compaction(self.file.size() + added, compacted_bytes) && self.can_compact() {
             compacted = self.compact();
         }
         let size = self.file.size() + added + self.leftover_copy_bytes;
-        if let Err(full) = self.space.check_file(size) {
+        if let Err(full) = self.space.check_file(size, compacted_bytes) {
             // If the compaction has failed as well, its error is the cause.
             return compacted.and(Err(full));
         }
         self.file.append(frames)
     }
 
+    /// Returns the bytes that a compacted file takes besides the pending messages, as the limits count them.
+    fn base_bytes(&self) -> u64 {
+        self.space.counted_base(self.state.base_bytes())
+    }
+
     fn can_compact(&self) -> bool {
         self.compaction_failed_at.is_none_or(|at| at.elapsed() >= COMPACTION_RETRY_DELAY)
     }
--- a/src/bin/delivery-gateway/journal/state.rs
+++ b/src/bin/delivery-gateway/journal/state.rs
@@ -1,12 +1,25 @@
 //! The state that results from the journal's records. This module reads and writes no files.
 
 use delivery_gateway::discovery::{DiscoveredEndpoint, DiscoveryUpdate};
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::chunks::encoded_bytes;
+use super::frame::HEADER_BYTES;
 use super::record::{
     CircuitKey, PendingMessage, PersistedCircuit, PersistedCircuitChange, Record, SentRecord,
 };
 
+/// The maximum size of a destination in a record, in bytes.
+const DESTINATION_BYTES: u64 = 5;
+/// The maximum size of a record's header and of its fields besides an entry, in bytes.
+const RECORD_OVERHEAD_BYTES: u64 = HEADER_BYTES as u64 + 24;
+/// The size of the tag of a [`PersistedCircuitChange`], in bytes.
+const CHANGE_TAG_BYTES: u64 = 1;
+/// The maximum number of list records in a compacted file of the usual size: one each for endpoints, destinations and
+/// circuits, and as many again.
+const LIST_RECORDS: u64 = 6;
+
 /// The state that results from applying the journal's records in order.
 #[derive(Default)]
 pub struct JournalState {
@@ -18,6 +31,8 @@
     pub endpoints_revision: u64,
     /// The endpoint list, by uid.
     pub endpoints: BTreeMap<String, DiscoveredEndpoint>,
+    /// The size of the entries of the endpoint list in its records, in bytes.
+    endpoints_bytes: u64,
     /// Destinations that are or were listed. A destination without endpoints stays, because it may get new ones.
     pub destinations: BTreeSet<u32>,
     /// Circuits that are not in their initial state.
@@ -76,6 +91,17 @@
         }
     }
 
+    /// Returns the maximum number of bytes that all state but the pending messages takes in a compacted file.
+    pub fn base_bytes(&self) -> u64 {
+        let disabled = self.disabled_endpoints.iter();
+        let disabled_bytes: u64 = disabled.map(|uid| RECORD_OVERHEAD_BYTES + uid.len() as u64).sum();
+        LIST_RECORDS * RECORD_OVERHEAD_BYTES
+            + self.endpoints_bytes
+            + self.destinations.len() as u64 * DESTINATION_BYTES
+            + self.circuits.bytes
+            + disabled_bytes
+    }
+
     /// Returns whether a message has an attempt in flight.
     pub fn has_attempt_in_flight(&self, number: u32) -> bool {
         self.pending.get(&number).is_some_and(|pending| pending.in_flight.is_some())
@@ -86,14 +112,17 @@
         self.endpoints_revision = update.revision;
         if update.is_snapshot {
             self.endpoints.clear();
+            self.endpoints_bytes = 0;
         }
         for endpoint in update.endpoints {
             self.destinations.insert(endpoint.destination);
-            if endpoint.is_removed() {
-                self.endpoints.remove(&endpoint.uid);
+            let replaced = if endpoint.is_removed() {
+                self.endpoints.remove(&endpoint.uid)
             } else {
-                self.endpoints.insert(endpoint.uid.clone(), endpoint);
-            }
+                self.endpoints_bytes += entry_bytes(&endpoint);
+                self.endpoints.insert(endpoint.uid.clone(), endpoint)
+            };
+            self.endpoints_bytes -= replaced.map_or(0, |replaced| entry_bytes(&replaced));
         }
     }
 
@@ -139,10 +168,17 @@
     }
 }
 
+/// Returns the size of an entry in a record, in bytes; 0 if it cannot be encoded, so that it is in no record either.
+fn entry_bytes(entry: &impl Serialize) -> u64 {
+    encoded_bytes(entry).map_or(0, |bytes| bytes as u64)
+}
+
 /// The circuits that are not in their initial state.
 #[derive(Default)]
 pub struct PersistedCircuits {
     circuits: BTreeMap<CircuitKey, PersistedCircuit>,
+    /// The size of the circuits in records, in bytes.
+    bytes: u64,
     open_count: usize,
 }
 
@@ -172,10 +208,19 @@
         let replaced = match change {
             PersistedCircuitChange::Updated(circuit) => {
                 self.open_count += usize::from(circuit.is_open());
+                self.bytes += circuit_bytes(&circuit);
                 self.circuits.insert(circuit.key(), circuit)
             }
             PersistedCircuitChange::Removed(key) => self.circuits.remove(&key),
         };
-        self.open_count -= usize::from(replaced.is_some_and(|circuit| circuit.is_open()));
+        if let Some(replaced) = replaced {
+            self.open_count -= usize::from(replaced.is_open());
+            self.bytes -= circuit_bytes(&replaced);
+        }
     }
 }
+
+/// Returns the size of a circuit in a record of changes, in bytes.
+fn circuit_bytes(circuit: &PersistedCircuit) -> u64 {
+    CHANGE_TAG_BYTES + entry_bytes(circuit)
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -311,6 +311,38 @@
     assert!(gateway.wait_for_log_line("journal replayed").contains(&format!("pending={accepted}")));
 }
 
+/// A long endpoint list takes a part of the disk space that compaction cannot free. If the file grows until no copy of the
+/// list fits beside it, the journal can never be compacted again: no message is accepted, and no attempt starts.
+#[test]
+fn a_journal_with_a_long_endpoint_list_can_always_be_compacted() {
+    let mut environment = TestEnvironment::with_long_deadlines(1, 0.3);
+    // The list takes about a tenth of the disk space.
+    environment.grow_to(700);
+    let gateway = environment.start();
+    let mut client = gateway.client();
+    let body = vec![b'x'; 4000];
+    let (mut accepted, mut answered) = (0, 0);
+    // Enqueues as much as the journal takes. From then on each delivered message makes room for another one, so that
+    // the file grows while the pending messages stay as many.
+    for number in 0..120 {
+        match client.enqueue(&format!("f{number}"), "0", "salary", 1, &body).as_str() {
+            "+OK" => accepted += 1,
+            reply => {
+                assert!(reply.starts_with("-BUSY "), "{reply}");
+                environment.call().answer("200 OK", "");
+                answered += 1;
+            }
+        }
+        assert!(environment.disk_used_bytes() <= 300_000);
+    }
+    assert!(answered > 30, "{accepted} accepted, {answered} answered");
+    for _ in answered..accepted {
+        environment.call().answer("200 OK", "");
+    }
+    assert_eq!(client.enqueue("later", "0", "salary", 1, &body), "+OK");
+    assert_eq!(environment.call().id, "later");
+}
+
 /// A write that a crash has cut short leaves a torn or damaged tail. It is truncated, the records before it are kept,
 /// and the process starts.
 #[test]
