--- a/src/bin/delivery-gateway/resp2/connection.rs
+++ b/src/bin/delivery-gateway/resp2/connection/mod.rs
@@ -4,23 +4,27 @@
 //!
 //! A request of which a part has been read gets a reply before its connection is closed, whatever ends it. Each wait
 //! ends early when the service phase changes, so that neither a handover nor the end of the process waits for a client.
+//!
+//! - [`reading`]: reads more of a request, and decides how long to wait for it.
+//! - [`refusal`]: refuses the request that is being read.
+
+mod reading;
+mod refusal;
 
 use bytes::{Bytes, BytesMut};
-use delivery_gateway::socket::{disable_nagle, memory_backoff, try_transfer, write_all, Transfer};
-use socket2::SockRef;
+use delivery_gateway::socket::{disable_nagle, write_all};
 use std::future::ready;
-use std::io::{self, Read};
+use std::io;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc::UnboundedSender, oneshot, watch, SemaphorePermit};
 use tokio::task::yield_now;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
-use tracing::debug;
+use tokio::time::{sleep_until, timeout, Instant};
 
-use super::codec::{decode_request, Reply, RequestSkipper, RespError};
+use self::reading::ReadOutcome;
+use self::refusal::Refusal;
+use super::codec::{decode_request, Reply};
 use super::connection_slots::{ConnectionSlot, ConnectionSlots, ConnectionState};
-use super::drain::drain;
 use crate::events::{EnqueueReply, EnqueueRequest, GatewayEvent, ServicePhase};
 
 /// The maximum size of one read. A longer request waits for a permit for long requests.
@@ -32,8 +36,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The time limit for writing replies. A client that does not read for this long has stopped waiting for its reply.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
-/// The time limit for the first bytes on a new connection while the process shuts down or is a lame duck.
-const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 /// The size at which buffered replies to pipelined requests are written.
 const MAX_BUFFERED_REPLY_BYTES: usize = 4 << 10;
 /// The number of requests of one connection that are served before other connections get their turn.
@@ -72,39 +74,6 @@
     slot: ConnectionSlot,
 }
 
-/// The result of reading more of a request.
-enum ReadOutcome {
-    /// Bytes were added to the buffer.
-    Data,
-    /// The client has closed its side, or has sent nothing more on a connection that is to be closed.
-    Closed,
-    /// The request is not complete, and its rest is not waited for any longer.
-    Incomplete(Refusal),
-    /// The service phase has changed.
-    PhaseChanged,
-}
-
-/// The reason why the request that is being read is refused, and the connection closed after the reply.
-#[derive(Debug)]
-enum Refusal {
-    /// The bytes are not a request.
-    Invalid(RespError),
-    /// The request was not complete when its time limit passed or its connection was evicted.
-    Incomplete,
-    /// The process ends.
-    ProcessEnds,
-}
-
-impl Refusal {
-    fn encode_reply(&self, output: &mut Vec<u8>) {
-        match self {
-            Refusal::Invalid(error) => Reply::Error(&error.to_string()).encode(output),
-            Refusal::Incomplete => Reply::Error("the request did not come to its end").encode(output),
-            Refusal::ProcessEnds => Reply::Busy(None).encode(output),
-        }
-    }
-}
-
 /// The reason why no more requests are served on a connection.
 enum ServiceEnd {
     /// Nothing is left to be answered, or nobody is left to answer.
@@ -255,56 +224,6 @@
         }
     }
 
-    /// Refuses the request that is being read, and skips the rest of it, so that the requests behind it are answered.
-    /// Returns how the service ends if that fails.
-    async fn refuse_and_skip(&mut self) -> io::Result<Option<ServiceEnd>> {
-        debug!(number = self.number(), "no permit for a long request: refusing it");
-        self.reply(Reply::Busy(None)).await?;
-        self.flush().await?;
-        self.answered += 1;
-        let deadline = Instant::now() + PARTIAL_REQUEST_TIMEOUT;
-        let mut skipper = RequestSkipper::default();
-        loop {
-            match skipper.skip(&mut self.input) {
-                Ok(true) => {
-                    self.free_request_memory();
-                    return Ok(None);
-                }
-                Ok(false) => {}
-                Err(error) => return Ok(Some(ServiceEnd::Refused(Refusal::Invalid(error)))),
-            }
-            if !self.read_more_to_skip(deadline).await? {
-                return Ok(Some(ServiceEnd::AlreadyRefused));
-            }
-        }
-    }
-
-    /// Reads more of a request that is skipped, and returns whether there was more. Waits only until the deadline, and
-    /// neither during a handover nor at the end of the process.
-    async fn read_more_to_skip(&mut self, deadline: Instant) -> io::Result<bool> {
-        let eviction = self.slot.eviction();
-        loop {
-            let phase = *self.phase.borrow_and_update();
-            let may_wait = !matches!(phase, ServicePhase::HandingOver | ServicePhase::Closing);
-            tokio::select! {
-                biased;
-                ready = self.stream.readable(), if may_wait => ready?,
-                () = ready(()), if !may_wait => return self.has_read_now().await,
-                () = eviction.notified() => return self.has_read_now().await,
-                () = sleep_until(deadline) => return self.has_read_now().await,
-                Ok(()) = self.phase.changed() => continue,
-            }
-            if let Some(outcome) = self.try_read().await? {
-                return Ok(matches!(outcome, ReadOutcome::Data));
-            }
-        }
-    }
-
-    /// Reads what has arrived, and returns whether there was anything.
-    async fn has_read_now(&mut self) -> io::Result<bool> {
-        Ok(matches!(self.read_now().await?, ReadOutcome::Data))
-    }
-
     /// Sets the state after a reply, and returns the deadline of the next request, or of the rest of it.
     fn await_next_request(&self) -> Instant {
         if !self.input.is_empty() {
@@ -338,156 +257,6 @@
         drop(slot);
     }
 
-    /// Reads more of a request. A connection is closed because the process shuts down or is a lame duck only between
-    /// two requests, never within one, and a new connection may still send its first request.
-    async fn read(&mut self, deadline: Instant) -> io::Result<ReadOutcome> {
-        let is_between_requests = self.input.is_empty();
-        let phase = *self.phase.borrow_and_update();
-        match phase {
-            ServicePhase::HandingOver => return Ok(ReadOutcome::PhaseChanged),
-            ServicePhase::Closing => return self.read_before_exit(is_between_requests).await,
-            ServicePhase::LameDuck | ServicePhase::ShuttingDown if is_between_requests => {
-                return self.read_last_request().await;
-            }
-            ServicePhase::Serving | ServicePhase::LameDuck | ServicePhase::ShuttingDown => {}
-        }
-        let eviction = self.slot.eviction();
-        loop {
-            tokio::select! {
-                biased;
-                // The buffer grows only when there is something to read, so that idle connections hold no memory.
-                ready = self.stream.readable() => ready?,
-                () = eviction.notified() => {
-                    self.log_closing("another connection needs its slot");
-                    let outcome = self.read_now().await?;
-                    if is_between_requests {
-                        return Ok(outcome);
-                    }
-                    return Ok(self.evicted_within_request(outcome));
-                }
-                () = sleep_until(deadline) => {
-                    self.log_closing("timed out waiting for the client");
-                    if is_between_requests {
-                        return self.read_now().await;
-                    }
-                    return Ok(ReadOutcome::Incomplete(Refusal::Incomplete));
-                }
-                // The caller reads the new phase, and reads what has arrived meanwhile before it closes the connection.
-                Ok(()) = self.phase.changed() => return Ok(ReadOutcome::PhaseChanged),
-            }
-            if let Some(outcome) = self.try_read().await? {
-                return Ok(outcome);
-            }
-        }
-    }
-
-    /// Reads what the client still sends between two requests while the process shuts down or is a lame duck. A new
-    /// connection has [`LAST_REQUEST_TIMEOUT`] for its first request; on others only what has arrived is read.
-    async fn read_last_request(&mut self) -> io::Result<ReadOutcome> {
-        if self.answered == 0 {
-            let mut phase = self.phase.clone();
-            tokio::select! {
-                biased;
-                outcome = self.read_ready() => return outcome,
-                () = sleep(LAST_REQUEST_TIMEOUT) => {}
-                Ok(()) = phase.changed() => return Ok(ReadOutcome::PhaseChanged),
-            }
-        }
-        self.log_closing("shutting down or lame duck");
-        self.read_now().await
-    }
-
-    /// Reads what has arrived before the process exits. A request whose rest has not arrived is refused.
-    async fn read_before_exit(&mut self, is_between_requests: bool) -> io::Result<ReadOutcome> {
-        self.log_closing("the process ends");
-        Ok(match self.read_now().await? {
-            ReadOutcome::Closed if !is_between_requests => ReadOutcome::Incomplete(Refusal::ProcessEnds),
-            outcome => outcome,
-        })
-    }
-
-    /// Maps the last read of a connection evicted within a request. The rest of the request may be on its way: the
-    /// client gets an error rather than a connection closed without a reply. If more of the request has arrived, the
-    /// connection stays open.
-    fn evicted_within_request(&self, outcome: ReadOutcome) -> ReadOutcome {
-        match outcome {
-            ReadOutcome::Closed => ReadOutcome::Incomplete(Refusal::Incomplete),
-            ReadOutcome::Data => {
-                self.slot.set_state(ConnectionState::PartialRequest);
-                ReadOutcome::Data
-            }
-            other => other,
-        }
-    }
-
-    /// Logs why the connection is about to be closed. A request that has already arrived is still served.
-    fn log_closing(&self, reason: &str) {
-        debug!(
-            number = self.number(),
-            answered = self.answered,
-            undecoded_bytes = self.input.len(),
-            reason,
-            "closing client connection"
-        );
-    }
-
-    /// Waits for more bytes, and reads them.
-    async fn read_ready(&mut self) -> io::Result<ReadOutcome> {
-        loop {
-            self.stream.readable().await?;
-            if let Some(outcome) = self.try_read().await? {
-                return Ok(outcome);
-            }
-        }
-    }
-
-    /// Reads without waiting. Returns None if there was nothing to read, contrary to the runtime's notification, or if
-    /// the system is short of memory.
-    async fn try_read(&mut self) -> io::Result<Option<ReadOutcome>> {
-        self.input.reserve(READ_BYTES);
-        let ClientConnection { stream, input, .. } = self;
-        match try_transfer(|| stream.try_read_buf(input))? {
-            Transfer::Bytes(0) => Ok(Some(ReadOutcome::Closed)),
-            Transfer::Bytes(_) => Ok(Some(ReadOutcome::Data)),
-            Transfer::WouldBlock => Ok(None),
-            Transfer::OutOfMemory => {
-                memory_backoff().await;
-                Ok(None)
-            }
-        }
-    }
-
-    /// Reads what has arrived, without waiting. Returns `Closed` if there is nothing. Reads from the socket directly,
-    /// since the runtime may not have been notified of the last bytes yet, and they would be lost when the connection
-    /// is closed.
-    async fn read_now(&mut self) -> io::Result<ReadOutcome> {
-        loop {
-            let mut bytes = [0; READ_BYTES];
-            match try_transfer(|| (&*SockRef::from(&self.stream)).read(&mut bytes))? {
-                Transfer::WouldBlock | Transfer::Bytes(0) => return Ok(ReadOutcome::Closed),
-                Transfer::Bytes(count) => {
-                    self.input.extend_from_slice(&bytes[..count]);
-                    return Ok(ReadOutcome::Data);
-                }
-                Transfer::OutOfMemory => memory_backoff().await,
-            }
-        }
-    }
-
-    /// Returns whether the client has closed its side, or the connection is broken. A client that closed it before its
-    /// reply has stopped waiting, and may already be enqueuing the message elsewhere. A client of which more bytes are
-    /// buffered is still waiting.
-    fn client_has_closed(&mut self) -> bool {
-        let ClientConnection { stream, input, .. } = self;
-        if !input.is_empty() {
-            return false;
-        }
-        match try_transfer(|| stream.try_read_buf(input)) {
-            Ok(transfer) => transfer == Transfer::Bytes(0),
-            Err(_) => true,
-        }
-    }
-
     /// Answers one request, and yields to other connections after every [`REQUESTS_PER_TURN`] requests.
     async fn serve(&mut self, elements: &[Bytes]) -> io::Result<ServeOutcome> {
         self.slot.set_state(ConnectionState::Serving);
@@ -564,25 +333,4 @@
         }
         Ok(())
     }
-
-    /// Sends an error reply and closes the connection: shuts down the sending side, and discards what still arrives
-    /// until the client closes too, so that the error reply is not lost.
-    async fn refuse(mut self, refusal: Refusal) -> io::Result<()> {
-        debug!(number = self.number(), answered = self.answered, ?refusal, "refusing client connection");
-        refusal.encode_reply(&mut self.output);
-        self.close_after_reply().await
-    }
-
-    /// Writes the remaining replies, and closes the connection as [`refuse`](Self::refuse) does.
-    async fn close_after_reply(mut self) -> io::Result<()> {
-        self.input = BytesMut::new();
-        self.flush().await?;
-        self.stream.shutdown().await?;
-        self.slot.set_state(ConnectionState::Refused);
-        let eviction = self.slot.eviction();
-        tokio::select! {
-            drained = drain(&self.stream) => drained,
-            () = eviction.notified() => Ok(()),
-        }
-    }
 }
--- /dev/null
+++ b/src/bin/delivery-gateway/resp2/connection/reading.rs
@@ -0,0 +1,207 @@
+//! Reads more of a request, and decides how long to wait for it in each phase of the service.
+
+use delivery_gateway::socket::{memory_backoff, try_transfer, Transfer};
+use socket2::SockRef;
+use std::future::ready;
+use std::io::{self, Read};
+use std::time::Duration;
+use tokio::time::{sleep, sleep_until, Instant};
+use tracing::debug;
+
+use super::refusal::Refusal;
+use super::{ClientConnection, READ_BYTES};
+use crate::events::ServicePhase;
+use crate::resp2::connection_slots::ConnectionState;
+
+/// The time limit for the first bytes on a new connection while the process shuts down or is a lame duck.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The result of reading more of a request.
+pub(super) enum ReadOutcome {
+    /// Bytes were added to the buffer.
+    Data,
+    /// The client has closed its side, or has sent nothing more on a connection that is to be closed.
+    Closed,
+    /// The request is not complete, and its rest is not waited for any longer.
+    Incomplete(Refusal),
+    /// The service phase has changed.
+    PhaseChanged,
+}
+
+impl ClientConnection {
+    /// Reads more of a request. A connection is closed because the process shuts down or is a lame duck only between
+    /// two requests, never within one, and a new connection may still send its first request.
+    pub(super) async fn read(&mut self, deadline: Instant) -> io::Result<ReadOutcome> {
+        let is_between_requests = self.input.is_empty();
+        let phase = *self.phase.borrow_and_update();
+        match phase {
+            ServicePhase::HandingOver => return Ok(ReadOutcome::PhaseChanged),
+            ServicePhase::Closing => return self.read_before_exit(is_between_requests).await,
+            ServicePhase::LameDuck | ServicePhase::ShuttingDown if is_between_requests => {
+                return self.read_last_request().await;
+            }
+            ServicePhase::Serving | ServicePhase::LameDuck | ServicePhase::ShuttingDown => {}
+        }
+        let eviction = self.slot.eviction();
+        loop {
+            tokio::select! {
+                biased;
+                // The buffer grows only when there is something to read, so that idle connections hold no memory.
+                ready = self.stream.readable() => ready?,
+                () = eviction.notified() => {
+                    self.log_closing("another connection needs its slot");
+                    let outcome = self.read_now().await?;
+                    if is_between_requests {
+                        return Ok(outcome);
+                    }
+                    return Ok(self.evicted_within_request(outcome));
+                }
+                () = sleep_until(deadline) => {
+                    self.log_closing("timed out waiting for the client");
+                    if is_between_requests {
+                        return self.read_now().await;
+                    }
+                    return Ok(ReadOutcome::Incomplete(Refusal::Incomplete));
+                }
+                // The caller reads the new phase, and reads what has arrived meanwhile before it closes the connection.
+                Ok(()) = self.phase.changed() => return Ok(ReadOutcome::PhaseChanged),
+            }
+            if let Some(outcome) = self.try_read().await? {
+                return Ok(outcome);
+            }
+        }
+    }
+
+    /// Reads what the client still sends between two requests while the process shuts down or is a lame duck. A new
+    /// connection has [`LAST_REQUEST_TIMEOUT`] for its first request; on others only what has arrived is read.
+    async fn read_last_request(&mut self) -> io::Result<ReadOutcome> {
+        if self.answered == 0 {
+            let mut phase = self.phase.clone();
+            tokio::select! {
+                biased;
+                outcome = self.read_ready() => return outcome,
+                () = sleep(LAST_REQUEST_TIMEOUT) => {}
+                Ok(()) = phase.changed() => return Ok(ReadOutcome::PhaseChanged),
+            }
+        }
+        self.log_closing("shutting down or lame duck");
+        self.read_now().await
+    }
+
+    /// Reads what has arrived before the process exits. A request whose rest has not arrived is refused.
+    async fn read_before_exit(&mut self, is_between_requests: bool) -> io::Result<ReadOutcome> {
+        self.log_closing("the process ends");
+        Ok(match self.read_now().await? {
+            ReadOutcome::Closed if !is_between_requests => ReadOutcome::Incomplete(Refusal::ProcessEnds),
+            outcome => outcome,
+        })
+    }
+
+    /// Maps the last read of a connection evicted within a request. The rest of the request may be on its way: the
+    /// client gets an error rather than a connection closed without a reply. If more of the request has arrived, the
+    /// connection stays open.
+    fn evicted_within_request(&self, outcome: ReadOutcome) -> ReadOutcome {
+        match outcome {
+            ReadOutcome::Closed => ReadOutcome::Incomplete(Refusal::Incomplete),
+            ReadOutcome::Data => {
+                self.slot.set_state(ConnectionState::PartialRequest);
+                ReadOutcome::Data
+            }
+            other => other,
+        }
+    }
+
+    /// Logs why the connection is about to be closed. A request that has already arrived is still served.
+    fn log_closing(&self, reason: &str) {
+        debug!(
+            number = self.number(),
+            answered = self.answered,
+            undecoded_bytes = self.input.len(),
+            reason,
+            "closing client connection"
+        );
+    }
+
+    /// Waits for more bytes, and reads them.
+    async fn read_ready(&mut self) -> io::Result<ReadOutcome> {
+        loop {
+            self.stream.readable().await?;
+            if let Some(outcome) = self.try_read().await? {
+                return Ok(outcome);
+            }
+        }
+    }
+
+    /// Reads without waiting. Returns None if there was nothing to read, contrary to the runtime's notification, or if
+    /// the system is short of memory.
+    async fn try_read(&mut self) -> io::Result<Option<ReadOutcome>> {
+        self.input.reserve(READ_BYTES);
+        let ClientConnection { stream, input, .. } = self;
+        match try_transfer(|| stream.try_read_buf(input))? {
+            Transfer::Bytes(0) => Ok(Some(ReadOutcome::Closed)),
+            Transfer::Bytes(_) => Ok(Some(ReadOutcome::Data)),
+            Transfer::WouldBlock => Ok(None),
+            Transfer::OutOfMemory => {
+                memory_backoff().await;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Reads what has arrived, without waiting. Returns `Closed` if there is nothing. Reads from the socket directly,
+    /// since the runtime may not have been notified of the last bytes yet, and they would be lost when the connection
+    /// is closed.
+    async fn read_now(&mut self) -> io::Result<ReadOutcome> {
+        loop {
+            let mut bytes = [0; READ_BYTES];
+            match try_transfer(|| (&*SockRef::from(&self.stream)).read(&mut bytes))? {
+                Transfer::WouldBlock | Transfer::Bytes(0) => return Ok(ReadOutcome::Closed),
+                Transfer::Bytes(count) => {
+                    self.input.extend_from_slice(&bytes[..count]);
+                    return Ok(ReadOutcome::Data);
+                }
+                Transfer::OutOfMemory => memory_backoff().await,
+            }
+        }
+    }
+
+    /// Returns whether the client has closed its side, or the connection is broken. A client that closed it before its
+    /// reply has stopped waiting, and may already be enqueuing the message elsewhere. A client of which more bytes are
+    /// buffered is still waiting.
+    pub(super) fn client_has_closed(&mut self) -> bool {
+        let ClientConnection { stream, input, .. } = self;
+        if !input.is_empty() {
+            return false;
+        }
+        match try_transfer(|| stream.try_read_buf(input)) {
+            Ok(transfer) => transfer == Transfer::Bytes(0),
+            Err(_) => true,
+        }
+    }
+
+    /// Reads more of a request that is skipped, and returns whether there was more. Waits only until the deadline, and
+    /// neither during a handover nor at the end of the process.
+    pub(super) async fn read_more_to_skip(&mut self, deadline: Instant) -> io::Result<bool> {
+        let eviction = self.slot.eviction();
+        loop {
+            let phase = *self.phase.borrow_and_update();
+            let may_wait = !matches!(phase, ServicePhase::HandingOver | ServicePhase::Closing);
+            tokio::select! {
+                biased;
+                ready = self.stream.readable(), if may_wait => ready?,
+                () = ready(()), if !may_wait => return self.has_read_now().await,
+                () = eviction.notified() => return self.has_read_now().await,
+                () = sleep_until(deadline) => return self.has_read_now().await,
+                Ok(()) = self.phase.changed() => continue,
+            }
+            if let Some(outcome) = self.try_read().await? {
+                return Ok(matches!(outcome, ReadOutcome::Data));
+            }
+        }
+    }
+
+    /// Reads what has arrived, and returns whether there was anything.
+    async fn has_read_now(&mut self) -> io::Result<bool> {
+        Ok(matches!(self.read_now().await?, ReadOutcome::Data))
+    }
+}
