Free the slot of an evicted request that waits for a permit, and skip by the usual reads

Callers would see: with all slots occupied, a new client waits beyond its 400 ms because the connection chosen for eviction waits for a permit for a long request.

Change: an eviction ends the connection with -BUSY. A skipped request is read by ClientConnection::read with the time limit of await_rest_of_request, in place of a loop and a deadline of its own. The remainder of a pipelined request is copied only after a long one, no longer after each request.

--- a/src/bin/delivery-gateway/resp2/connection/mod.rs
+++ b/src/bin/delivery-gateway/resp2/connection/mod.rs
@@ -21,7 +21,6 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use self::reading::ReadOutcome;
 use self::refusal::Refusal;
 use super::codec::{decode_request, Reply};
 use super::connection_slots::{ConnectionSlot, ConnectionSlots, ConnectionState};
@@ -74,6 +73,18 @@
     slot: ConnectionSlot,
 }
 
+/// The result of reading more of a request.
+enum ReadOutcome {
+    /// Bytes were added to the buffer.
+    Data,
+    /// The client has closed its side, or has sent nothing more on a connection that is to be closed.
+    Closed,
+    /// The request is not complete, and its rest is not waited for any longer.
+    Incomplete(Refusal),
+    /// The service phase has changed.
+    PhaseChanged,
+}
+
 /// The reason why no more requests are served on a connection.
 enum ServiceEnd {
     /// Nothing is left to be answered, or nobody is left to answer.
@@ -89,8 +100,9 @@
 /// The result of waiting for a permit for a long request.
 enum PermitOutcome<'a> {
     Acquired(SemaphorePermit<'a>),
-    /// No permit was free in time, or the connection was evicted.
+    /// No permit was free in time.
     Unavailable,
+    Evicted,
     /// The service phase has changed.
     PhaseChanged,
 }
@@ -164,9 +176,11 @@
                     if self.serve(&elements).await? == ServeOutcome::GatewayEnded {
                         return Ok(ServiceEnd::Closed);
                     }
-                    if self.input.len() < READ_BYTES {
+                    if long_request.is_some() && self.input.len() < READ_BYTES {
                         self.free_request_memory();
                         long_request = None;
+                    } else if self.input.is_empty() {
+                        self.input = BytesMut::new();
                     }
                     deadline = self.await_next_request();
                     continue;
@@ -182,6 +196,7 @@
                 match self.acquire_permit(&slots, deadline).await {
                     PermitOutcome::Acquired(permit) => long_request = Some(permit),
                     PermitOutcome::PhaseChanged => continue,
+                    PermitOutcome::Evicted => return Ok(ServiceEnd::Refused(Refusal::Unserved)),
                     PermitOutcome::Unavailable => {
                         if let Some(end) = self.refuse_and_skip().await? {
                             return Ok(end);
@@ -192,7 +207,7 @@
                 }
             }
             let was_between_requests = self.input.is_empty();
-            match self.read(deadline).await? {
+            match self.read(deadline, was_between_requests).await? {
                 ReadOutcome::Data if was_between_requests => deadline = self.await_rest_of_request(),
                 ReadOutcome::Data | ReadOutcome::PhaseChanged => {}
                 ReadOutcome::Closed => return Ok(ServiceEnd::Closed),
@@ -219,7 +234,7 @@
             Ok(permit) = slots.long_requests.acquire() => PermitOutcome::Acquired(permit),
             () = ready(()), if is_closing => PermitOutcome::Unavailable,
             () = sleep_until(deadline) => PermitOutcome::Unavailable,
-            () = eviction.notified() => PermitOutcome::Unavailable,
+            () = eviction.notified() => PermitOutcome::Evicted,
             Ok(()) = self.phase.changed() => PermitOutcome::PhaseChanged,
         }
     }
--- a/src/bin/delivery-gateway/resp2/connection/reading.rs
+++ b/src/bin/delivery-gateway/resp2/connection/reading.rs
@@ -2,37 +2,27 @@
 
 use delivery_gateway::socket::{memory_backoff, try_transfer, Transfer};
 use socket2::SockRef;
-use std::future::ready;
 use std::io::{self, Read};
 use std::time::Duration;
 use tokio::time::{sleep, sleep_until, Instant};
 use tracing::debug;
 
 use super::refusal::Refusal;
-use super::{ClientConnection, READ_BYTES};
+use super::{ClientConnection, ReadOutcome, READ_BYTES};
 use crate::events::ServicePhase;
 use crate::resp2::connection_slots::ConnectionState;
 
 /// The time limit for the first bytes on a new connection while the process shuts down or is a lame duck.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The result of reading more of a request.
-pub(super) enum ReadOutcome {
-    /// Bytes were added to the buffer.
-    Data,
-    /// The client has closed its side, or has sent nothing more on a connection that is to be closed.
-    Closed,
-    /// The request is not complete, and its rest is not waited for any longer.
-    Incomplete(Refusal),
-    /// The service phase has changed.
-    PhaseChanged,
-}
-
 impl ClientConnection {
     /// Reads more of a request. A connection is closed because the process shuts down or is a lame duck only between
     /// two requests, never within one, and a new connection may still send its first request.
-    pub(super) async fn read(&mut self, deadline: Instant) -> io::Result<ReadOutcome> {
-        let is_between_requests = self.input.is_empty();
+    pub(super) async fn read(
+        &mut self,
+        deadline: Instant,
+        is_between_requests: bool,
+    ) -> io::Result<ReadOutcome> {
         let phase = *self.phase.borrow_and_update();
         match phase {
             ServicePhase::HandingOver => return Ok(ReadOutcome::PhaseChanged),
@@ -92,7 +82,7 @@
     async fn read_before_exit(&mut self, is_between_requests: bool) -> io::Result<ReadOutcome> {
         self.log_closing("the process ends");
         Ok(match self.read_now().await? {
-            ReadOutcome::Closed if !is_between_requests => ReadOutcome::Incomplete(Refusal::ProcessEnds),
+            ReadOutcome::Closed if !is_between_requests => ReadOutcome::Incomplete(Refusal::Unserved),
             outcome => outcome,
         })
     }
@@ -151,7 +141,7 @@
     /// Reads what has arrived, without waiting. Returns `Closed` if there is nothing. Reads from the socket directly,
     /// since the runtime may not have been notified of the last bytes yet, and they would be lost when the connection
     /// is closed.
-    async fn read_now(&mut self) -> io::Result<ReadOutcome> {
+    pub(super) async fn read_now(&mut self) -> io::Result<ReadOutcome> {
         loop {
             let mut bytes = [0; READ_BYTES];
             match try_transfer(|| (&*SockRef::from(&self.stream)).read(&mut bytes))? {
@@ -178,30 +168,4 @@
             Err(_) => true,
         }
     }
-
-    /// Reads more of a request that is skipped, and returns whether there was more. Waits only until the deadline, and
-    /// neither during a handover nor at the end of the process.
-    pub(super) async fn read_more_to_skip(&mut self, deadline: Instant) -> io::Result<bool> {
-        let eviction = self.slot.eviction();
-        loop {
-            let phase = *self.phase.borrow_and_update();
-            let may_wait = !matches!(phase, ServicePhase::HandingOver | ServicePhase::Closing);
-            tokio::select! {
-                biased;
-                ready = self.stream.readable(), if may_wait => ready?,
-                () = ready(()), if !may_wait => return self.has_read_now().await,
-                () = eviction.notified() => return self.has_read_now().await,
-                () = sleep_until(deadline) => return self.has_read_now().await,
-                Ok(()) = self.phase.changed() => continue,
-            }
-            if let Some(outcome) = self.try_read().await? {
-                return Ok(matches!(outcome, ReadOutcome::Data));
-            }
-        }
-    }
-
-    /// Reads what has arrived, and returns whether there was anything.
-    async fn has_read_now(&mut self) -> io::Result<bool> {
-        Ok(matches!(self.read_now().await?, ReadOutcome::Data))
-    }
 }
--- a/src/bin/delivery-gateway/resp2/connection/refusal.rs
+++ b/src/bin/delivery-gateway/resp2/connection/refusal.rs
@@ -6,7 +6,8 @@
 use tokio::time::Instant;
 use tracing::debug;
 
-use super::{ClientConnection, ServiceEnd, PARTIAL_REQUEST_TIMEOUT};
+use super::{ClientConnection, ReadOutcome, ServiceEnd};
+use crate::events::ServicePhase;
 use crate::resp2::codec::{Reply, RequestSkipper, RespError};
 use crate::resp2::connection_slots::ConnectionState;
 use crate::resp2::drain::drain;
@@ -18,8 +19,8 @@
     Invalid(RespError),
     /// The request was not complete when its time limit passed or its connection was evicted.
     Incomplete,
-    /// The process ends.
-    ProcessEnds,
+    /// The process ends, or another connection needs the slot of one that waits for a permit.
+    Unserved,
 }
 
 impl Refusal {
@@ -27,7 +28,7 @@
         match self {
             Refusal::Invalid(error) => Reply::Error(&error.to_string()).encode(output),
             Refusal::Incomplete => Reply::Error("the request did not come to its end").encode(output),
-            Refusal::ProcessEnds => Reply::Busy(None).encode(output),
+            Refusal::Unserved => Reply::Busy(None).encode(output),
         }
     }
 }
@@ -40,7 +41,7 @@
         self.reply(Reply::Busy(None)).await?;
         self.flush().await?;
         self.answered += 1;
-        let deadline = Instant::now() + PARTIAL_REQUEST_TIMEOUT;
+        let deadline = self.await_rest_of_request();
         let mut skipper = RequestSkipper::default();
         loop {
             match skipper.skip(&mut self.input) {
@@ -57,6 +58,18 @@
         }
     }
 
+    /// Reads more of a request that is skipped, and returns whether its rest is still to be expected. A connection
+    /// cannot be transferred within such a request, so that a handover does not wait for more.
+    async fn read_more_to_skip(&mut self, deadline: Instant) -> io::Result<bool> {
+        let outcome = match self.read(deadline, false).await? {
+            ReadOutcome::PhaseChanged if *self.phase.borrow() == ServicePhase::HandingOver => {
+                self.read_now().await?
+            }
+            outcome => outcome,
+        };
+        Ok(matches!(outcome, ReadOutcome::Data | ReadOutcome::PhaseChanged))
+    }
+
     /// Sends an error reply and closes the connection: shuts down the sending side, and discards what still arrives
     /// until the client closes too, so that the error reply is not lost.
     pub(super) async fn refuse(mut self, refusal: Refusal) -> io::Result<()> {
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -73,6 +73,46 @@
     }
 }
 
+/// A long request that waits for a permit may be the one whose connection is evicted for lack of slots. If it kept its slot
+/// until its time limit, no other connection would be evicted meanwhile, and new clients would wait beyond the 400 ms after
+/// which they give up.
+#[test]
+fn an_evicted_request_that_waits_for_a_permit_frees_its_slot() {
+    let mut environment = TestEnvironment::new(1, 3.0);
+    // Gives slots for 48 connections, and two permits for long requests.
+    (environment.sockets, environment.memory_mb) = (128, 1);
+    let gateway = environment.start();
+    let mut start = b"*2\r\n$7\r\nUNKNOWN\r\n$40000\r\n".to_vec();
+    start.resize(6000, b'x');
+    // The longest incomplete request comes to wait for a permit, since younger ones are long before it is. There is one more
+    // of them than permits, as one may be evicted at once when all slots are occupied.
+    let mut waiting = gateway.client().with_read_timeout(ERROR_TIMEOUT);
+    waiting.send(&start[..100]);
+    assert_eq!(gateway.client().request(&["PING"]), "+PONG");
+    let mut others = Vec::new();
+    gateway.while_stopped(|| {
+        for number in 0..47 {
+            let mut client = gateway.client().with_read_timeout(ERROR_TIMEOUT);
+            client.send(if number < 3 { &start } else { &start[..100] });
+            others.push(client);
+        }
+    });
+    std::thread::sleep(Duration::from_millis(50));
+    waiting.send(&start[100..]);
+    // Clients give up after 400 ms, so that all these connections may now be evicted for others.
+    std::thread::sleep(Duration::from_millis(450));
+    let mut served = Vec::new();
+    for _ in 0..3 {
+        let mut client = gateway.client().with_read_timeout(Duration::from_millis(400));
+        // A connection between two requests would be evicted before those with a partial one.
+        client.send_command(&["PING"]);
+        client.send(&start[..100]);
+        assert_eq!(client.read_line(), "+PONG");
+        served.push(client);
+    }
+    assert_eq!(waiting.read_line(), "-BUSY");
+}
+
 /// The time until a message's deadline counts from the last byte of its request, also while the connection waits for a
 /// slot. The gateway subtracts the longest possible wait, as the final outcome would otherwise be late by the actual
 /// wait.
