--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,16 +9,18 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
+from site_2 import (  # noqa: E402
+    DEADLINES, DESTINATIONS, EFFECTS, FULL_LOAD_PER_S, KINDS, LIMITS, NAMES, SHARES, TENANTS, ZONES, settings, unsafe)
 from stand_ins_2 import (  # noqa: E402
-    BROKEN, HELD, SECOND, Agent, CaseError, Clients, Courier, Endpoint, Message, free_address, run_case)
+    BROKEN, HELD, Agent, CaseError, Clients, Courier, Endpoint, Message, free_address, run_case)
 
-DESTINATIONS, HANGING, ENDPOINTS_EACH = 10, 5, 2
-# The tenant that each destination belongs to, by the tenants' shares.
-TENANTS = ["vidzeme-radars", "kurzeme-laiks", "vidzeme-radars", "latgale-meteo", "vidzeme-radars",
-           "vidzeme-radars", "kurzeme-laiks", "latgale-meteo", "vidzeme-radars", "vidzeme-radars"]
-FULL_LOAD_PER_S = 17  # 51 messages a second for 3 couriers.
+# Short days: "Their settings may give a class another effect than the site does". These two have each other's here.
+SHORT_DAY_EFFECTS = {**EFFECTS, "tile-update": EFFECTS["licence-payment"], "licence-payment": EFFECTS["tile-update"]}
+UNSAFE = unsafe(SHORT_DAY_EFFECTS)
+HANGING, ENDPOINTS_EACH = 5, 2
+MOST_HELD = int(5.7 * FULL_LOAD_PER_S)
 RATE_PER_S = 1.3 * FULL_LOAD_PER_S
-HANG_AT, TERM_AT, HANG_S = 6.0, 11.0, 18.0
+HANG_AT, TERM_AT, HANG_S = 6.0, 12.0, 18.0
 KILL_AFTER, START_AFTER_KILL = 3.7, 0.6
 FRONT_STOPS_AFTER = 0.3
 TRAFFIC_UNTIL = HANG_AT + HANG_S + 4
@@ -26,45 +28,16 @@
 EARLY_S = 0.1
 # Fewer messages than this are too few to speak of over half of them.
 LEAST_FOUND = 10
-# Name, effect, worth, aim, deadline, window for repeats and share of messages, as the site has them.
-CLASSES = [("tile-update", "read_like", 1.0, 2, 16, 5, 0.45),
-           ("storm-alert", "idempotency_key", 2.0, 2, 28, 15, 0.38),
-           ("licence-payment", "non_idempotent", 5.0, 4, 28, 5, 0.17)]
-SECONDS = {name: deadline for name, _, _, _, deadline, _, _ in CLASSES}
-UNSAFE = {name for name, effect, *_ in CLASSES if effect == "non_idempotent"}
-SETTINGS = {
-    "Balancers": 3, "Family": "deliver", "Discovery": "push", "WeightSource": "rough", "WorthBy": "request",
-    "Tick": 5_000_000, "Rank": 1, "Tier": 0, "Tiers": ["partner-systems"], "Locality": 1, "OverShareWorth": 0.2,
-    "Zones": ["hall-a", "hall-b", "hall-c"], "MachineTypes": ["bulk-partner", "partner"],
-    "ClientHabits": {"MarksRetry": True},
-    "FamilyInfo": {"CallsOut": 7, "Decay": "halves", "FeeByZone": [0.0, 0.03, 0.06], "KindBatch": [10, 1],
-                   "OwnLimits": [True, True], "RefusalCost": 0.0},
-    "Lanes": [{"Name": name, "Effect": effect, "Group": "all", "Worth": worth, "Aim": aim * SECOND,
-               "Deadline": deadline * SECOND, "RepeatWindow": window * SECOND, "LateShare": 0.5, "Stream": False}
-              for name, effect, worth, aim, deadline, window, _ in CLASSES],
-    "Permissions": {"Cancel": True, "ConnIdle": 10 * SECOND, "ConnectTimeout": 1_500_000_000, "CpuUsPerRequest": 0.0,
-                    "CpuUsPerS": 400_000, "MaxRetryAfter": 3 * SECOND, "MaxStreams": 8,
-                    "MostHeld": int(5.7 * FULL_LOAD_PER_S), "Peers": False, "Probes": True, "RetryAfter": True,
-                    "SecondCopies": False, "SendCap": 12},
-    "Projects": [{"Name": "vidzeme-radars", "Fraction": 0.54, "QuotaPerS": 25.0},
-                 {"Name": "kurzeme-laiks", "Fraction": 0.24, "QuotaPerS": 11.0},
-                 {"Name": "latgale-meteo", "Fraction": 0.22, "QuotaPerS": 10.0}],
-    "Report": {"Fields": [], "Source": "silent"},
-    "Rules": {"AnswerSlack": 20_000_000, "AskEvery": 10 * SECOND, "Cold": 11 * SECOND, "ColdFrom": 0.14,
-              "Fall": 2 * SECOND, "StopSendingWithin": 2 * SECOND, "TipMultiple": 2.5},
-}
-LIMITS = {"cores": 1.0, "memory_mb": 48, "sockets": 384, "disk_mb": 3}
 
 
 async def case(world, folder, has_trouble, couriers):
     record = world.record
-    endpoints = [Endpoint(world, destination, f"hall-{'abc'[destination % 3]}",
-                          "bulk-partner" if destination % 3 == 0 else "partner", 6.0)
+    endpoints = [Endpoint(world, destination, ZONES[destination % 3], KINDS[destination % 3 > 0], 6.0)
                  for destination in range(DESTINATIONS) for _ in range(ENDPOINTS_EACH)]
     agent, listen = Agent(world), free_address()
     for server in (agent, *endpoints):
         await server.listen()
-    couriers.append(Courier(world, folder, "first", listen, agent, LIMITS, SETTINGS))
+    couriers.append(Courier(world, folder, "first", listen, agent, LIMITS, settings(MOST_HELD, SHORT_DAY_EFFECTS)))
     await couriers[0].start()
     await couriers[0].ready(30)
     clients = Clients(world, listen)
@@ -84,7 +57,7 @@
         couriers[0].signal(signal.SIGKILL)
         await couriers[0].ended(1)
     await sleep_until(start + TERM_AT + KILL_AFTER + START_AFTER_KILL)
-    couriers.append(Courier(world, folder, "second", listen, agent, LIMITS, SETTINGS))
+    couriers.append(Courier(world, folder, "second", listen, agent, LIMITS, settings(MOST_HELD, SHORT_DAY_EFFECTS)))
     found = [message for message in world.messages.values()
              if message.accepted and not message.calls and not message.notices]
     await couriers[1].start()
@@ -107,12 +80,11 @@
 
 
 async def send_traffic(clients, start):
-    names, weights = [name for name, *_ in CLASSES], [share for *_, share in CLASSES]
     handed_in = set()
     while time.monotonic() < start + TRAFFIC_UNTIL:
-        name = random.choices(names, weights)[0]
+        name = random.choices(NAMES, SHARES)[0]
         destination = random.randrange(DESTINATIONS)
-        message = Message(name, TENANTS[destination], destination, SECONDS[name])
+        message = Message(name, TENANTS[destination], destination, DEADLINES[name])
         task = asyncio.ensure_future(clients.hand_in(message, random.randbytes(200)))
         handed_in.add(task)
         task.add_done_callback(handed_in.discard)
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -41,7 +41,7 @@
     def __init__(self, kind, tenant, destination, seconds):
         self.ident, self.key = random_id(), random_id()
         self.kind, self.tenant, self.destination, self.seconds = kind, tenant, destination, seconds
-        self.sent = self.answer = self.delivered = None
+        self.sent = self.answer = self.delivered = self.request = None
         self.calls, self.notices = [], []
 
     @property
@@ -191,6 +191,7 @@
                   f"dest={message.destination}")
         words = [b"ENQUEUE", b"0" * 16, message.ident.encode(), fields.encode(), body]
         request = b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+        message.request = request
         for _ in range(2):
             connection, kept = self.take_idle()
             if connection is None and not self.opens_new:
@@ -257,15 +258,15 @@
         self.world.record.line("platform", f"{self.name} started")
 
     async def ready(self, within):
-        """Waits until the process answers PING with +PONG."""
+        """Waits until the process says at its operators' door that it is ready."""
         end = time.monotonic() + within
         while time.monotonic() < end and self.process.returncode is None:
             try:
-                reader, writer = await asyncio.open_connection(*self.listen)
-                writer.write(b"*1\r\n$4\r\nPING\r\n")
+                reader, writer = await asyncio.open_connection(*self.door)
+                writer.write(b"GET /_ready HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n")
                 line = await asyncio.wait_for(reader.readline(), 1)
                 writer.close()
-                if line == b"+PONG\r\n":
+                if line.startswith(b"HTTP/1.1 2"):
                     self.world.record.line("platform", f"{self.name} is ready")
                     return
             except (OSError, asyncio.TimeoutError):
