--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Half of the endpoints hang while a courier is told to end: what its restart finds untried is given up. See claim.txt."""
+"""A request comes a second time, behind a replacement of the process: a payment is made twice. See claim.txt."""
 
 import asyncio
 import pathlib
@@ -14,98 +14,89 @@
 from stand_ins_2 import (  # noqa: E402
     BROKEN, HELD, Agent, CaseError, Clients, Courier, Endpoint, Message, free_address, run_case)
 
-# Short days: "Their settings may give a class another effect than the site does". These two have each other's here.
-SHORT_DAY_EFFECTS = {**EFFECTS, "tile-update": EFFECTS["licence-payment"], "licence-payment": EFFECTS["tile-update"]}
-UNSAFE = unsafe(SHORT_DAY_EFFECTS)
-HANGING, ENDPOINTS_EACH = 5, 2
-MOST_HELD = int(5.7 * FULL_LOAD_PER_S)
-RATE_PER_S = 1.3 * FULL_LOAD_PER_S
-HANG_AT, TERM_AT, HANG_S = 6.0, 12.0, 18.0
-KILL_AFTER, START_AFTER_KILL = 3.7, 0.6
-FRONT_STOPS_AFTER = 0.3
-TRAFFIC_UNTIL = HANG_AT + HANG_S + 4
-# An end this long before a message's time is up is early.
-EARLY_S = 0.1
-# Fewer messages than this are too few to speak of over half of them.
-LEAST_FOUND = 10
+UNSAFE = unsafe(EFFECTS)
+UPGRADE_AT, KILL_AFTER, YES_WITHIN = 6.0, 3.7, 6.0
+# The bad clients come once the old process has ended, or would have at the latest.
+BAD_CLIENTS_AT = UPGRADE_AT + 4.5
+BAD_CLIENTS = 10
+# What is owed to a bad client within this time of its connecting is an error line or a close.
+BAD_CLIENT_WAIT = 3.0
+TRAFFIC_UNTIL = BAD_CLIENTS_AT + 3
 
 
 async def case(world, folder, has_trouble, couriers):
     record = world.record
     endpoints = [Endpoint(world, destination, ZONES[destination % 3], KINDS[destination % 3 > 0], 6.0)
-                 for destination in range(DESTINATIONS) for _ in range(ENDPOINTS_EACH)]
+                 for destination in range(DESTINATIONS) for _ in range(2)]
     agent, listen = Agent(world), free_address()
     for server in (agent, *endpoints):
         await server.listen()
-    couriers.append(Courier(world, folder, "first", listen, agent, LIMITS, settings(MOST_HELD, SHORT_DAY_EFFECTS)))
+    couriers.append(Courier(world, folder, "first", listen, agent, LIMITS, settings()))
     await couriers[0].start()
     await couriers[0].ready(30)
     clients = Clients(world, listen)
     start = time.monotonic()
     traffic = asyncio.ensure_future(send_traffic(clients, start))
 
-    await sleep_until(start + HANG_AT)
-    hanging = [endpoint for endpoint in endpoints if endpoint.destination < HANGING] if has_trouble else []
-    for endpoint in hanging:
-        endpoint.hangs = True
-    record.line("case", f"{len(hanging)} of {len(endpoints)} endpoints hang")
-
-    await sleep_until(start + TERM_AT)
-    couriers[0].signal(signal.SIGTERM)
-    asyncio.get_running_loop().call_later(FRONT_STOPS_AFTER, setattr, clients, "opens_new", False)
-    if not await couriers[0].ended(KILL_AFTER):
-        couriers[0].signal(signal.SIGKILL)
-        await couriers[0].ended(1)
-    await sleep_until(start + TERM_AT + KILL_AFTER + START_AFTER_KILL)
-    couriers.append(Courier(world, folder, "second", listen, agent, LIMITS, settings(MOST_HELD, SHORT_DAY_EFFECTS)))
-    found = [message for message in world.messages.values()
-             if message.accepted and not message.calls and not message.notices]
-    await couriers[1].start()
-    await couriers[1].ready(10)
-    ready = time.monotonic()
-    found = [message for message in found if message.due - ready >= message.seconds / 2]
-    clients.opens_new = True
-
-    await sleep_until(start + HANG_AT + HANG_S)
-    for endpoint in hanging:
-        endpoint.recover()
-    record.line("case", "no endpoint hangs any more")
+    await sleep_until(start + UPGRADE_AT)
+    before = time.monotonic()
+    if has_trouble:
+        couriers.append(Courier(world, folder, "second", listen, agent, LIMITS, settings()))
+        await couriers[1].start()
+        await couriers[1].ready(YES_WITHIN)
+        couriers[0].signal(signal.SIGTERM)
+        if not await couriers[0].ended(KILL_AFTER):
+            couriers[0].signal(signal.SIGKILL)
+            await couriers[0].ended(1)
+
+    await sleep_until(start + BAD_CLIENTS_AT)
+    paid = [message for message in world.messages.values()
+            if message.kind in UNSAFE and message.accepted and message.delivered and message.delivered < before]
+    if len(paid) < BAD_CLIENTS:
+        raise CaseError("too few payments were delivered")
+    repeated = paid[-BAD_CLIENTS:]
+    await asyncio.gather(*(bad_client(record, listen, message) for message in repeated))
     await traffic
-    end = max((message.due for message in found), default=time.monotonic()) + 0.6
-    while time.monotonic() < end and not all(message.calls or message.notices for message in found):
-        await asyncio.sleep(0.1)
-    if any(courier.process.returncode is not None for courier in couriers[1:]):
-        raise CaseError("the second process has ended")
-    return judge(record, found, has_trouble)
+    await asyncio.sleep(2)
+    if couriers[-1].process.returncode is not None:
+        raise CaseError("the courier has ended")
+    return judge(record, world)
 
 
 async def send_traffic(clients, start):
     handed_in = set()
     while time.monotonic() < start + TRAFFIC_UNTIL:
-        name = random.choices(NAMES, SHARES)[0]
-        destination = random.randrange(DESTINATIONS)
+        name, destination = random.choices(NAMES, SHARES)[0], random.randrange(DESTINATIONS)
         message = Message(name, TENANTS[destination], destination, DEADLINES[name])
         task = asyncio.ensure_future(clients.hand_in(message, random.randbytes(200)))
         handed_in.add(task)
         task.add_done_callback(handed_in.discard)
-        await asyncio.sleep(random.expovariate(RATE_PER_S))
+        await asyncio.sleep(random.expovariate(FULL_LOAD_PER_S))
     await asyncio.gather(*handed_in)
 
 
-def judge(record, found, has_trouble):
-    """Over half of what was found untried, or of that part of it that may not be repeated, given up early with no call."""
+async def bad_client(record, listen, message):
+    """Sends a message that was taken on, byte for byte as its client did, and then what is no request."""
+    reader, writer = await asyncio.open_connection(*listen)
+    writer.write(message.request + b"\x16\x03\x01")
+    try:
+        answer = (await asyncio.wait_for(reader.readline(), BAD_CLIENT_WAIT)).decode().strip()
+    except (ConnectionError, asyncio.TimeoutError):
+        answer = ""
+    record.line("bad client", f"{message.ident} again, then no request -> {answer}")
+    writer.close()
+
+
+def judge(record, world):
+    """A message that may not be repeated was called once more although it had been delivered."""
     verdict = HELD
-    unsafe = [message for message in found if message.kind in UNSAFE]
-    for name, group in (("all", found), ("those that may not be repeated", unsafe)):
-        given_up = [message for message in group
-                    if not message.calls and message.notices and message.notices[0][0] < message.due - EARLY_S]
-        uncalled = [message for message in group if not message.calls]
-        record.line("case", f"found untried with half of their time left, {name}: {len(group)}; never called: "
-                            f"{len(uncalled)}; given up early with no call: {len(given_up)}")
-        if len(group) >= LEAST_FOUND and 2 * len(given_up) > len(group):
-            verdict = BROKEN
-    if has_trouble and len(found) < LEAST_FOUND:
-        raise CaseError("the restart found too few untried messages")
+    for message in world.messages.values():
+        if message.kind in UNSAFE and message.delivered is not None:
+            late = [call for call in message.calls if call > message.delivered]
+            if late:
+                record.line("case", f"{message.ident} {message.kind} was delivered, and called again "
+                                    f"{late[0] - message.delivered:.3f} s later; calls: {len(message.calls)}")
+                verdict = BROKEN
     return verdict
 
 
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -176,6 +176,13 @@
         self.world.record.line("agent", f"notice {notice['id']} {notice['state']}")
 
 
+def enqueue_request(message, body):
+    fields = (f"c={message.kind},t={message.tenant},d={int(message.seconds * 1000)},k={message.key},"
+              f"dest={message.destination}")
+    words = [b"ENQUEUE", b"0" * 16, message.ident.encode(), fields.encode(), body]
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+
+
 class Clients:
     """The clients of one courier. They keep their connections, and open another one when all are busy, unless the front
     sends them no new ones (`opens_new`)."""
@@ -187,11 +194,7 @@
     async def hand_in(self, message, body):
         """Hands in one message. Its `answer` stays None if there was none within 400 ms. A request that crossed the end
         of a kept connection is sent once more on a new one."""
-        fields = (f"c={message.kind},t={message.tenant},d={int(message.seconds * 1000)},k={message.key},"
-                  f"dest={message.destination}")
-        words = [b"ENQUEUE", b"0" * 16, message.ident.encode(), fields.encode(), body]
-        request = b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
-        message.request = request
+        request = message.request = enqueue_request(message, body)
         for _ in range(2):
             connection, kept = self.take_idle()
             if connection is None and not self.opens_new:
