--- a/review/7/case.py
+++ b/review/7/case.py
@@ -19,8 +19,8 @@
 ROUNDS, BETWEEN_ROUNDS = 20, 0.4
 # Clients may hold a third of the descriptors. Their connections rest for less than 2 s.
 KEPT, REST = 40, 0.3
-# Idle clients: as many as fill the descriptors, and some that come while the courier is held up.
-IDLE_CLIENTS, MORE_IDLE_CLIENTS = 140, 3
+# Idle clients: as many as fill the descriptors, and a few at most that come while the courier is held up.
+IDLE_CLIENTS, MORE_IDLE_CLIENTS = 140, 8
 # The courier is held up for less than 0.15 s.
 HELD_UP, HELD_UP_MARGIN = 0.13, 0.01
 # Each burst is written at once. The network delivers it in two pieces, the second one this much later.
@@ -108,7 +108,7 @@
     courier.process.send_signal(signal.SIGSTOP)
     resume_at = time.monotonic() + HELD_UP - HELD_UP_MARGIN
     try:
-        idle += connect_idle(listen, MORE_IDLE_CLIENTS) if has_trouble else []
+        idle += connect_idle(listen, random.randint(1, MORE_IDLE_CLIENTS)) if has_trouble else []
         # The connections that have rested longest are used first.
         bursts = [asyncio.ensure_future(burst(world, number, link, resume_at - random.uniform(0.002, 0.028)))
                   for link in kept[:BURSTS]]
