--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -314,7 +314,9 @@
     seed = int(os.environ.get("SEED", random.getrandbits(32)))
     random.seed(seed)
     record.line("case", f"trouble={int(has_trouble)} seed={seed}")
-    temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+    # The path of a local socket, which a replacement of the process needs, has 107 bytes at most.
+    folder_of_temporary = tempfile.gettempdir() if len(tempfile.gettempdir()) < 60 else "/tmp"
+    temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-", dir=folder_of_temporary))
     for name in ("state", "tmp"):
         (temporary / name).mkdir()
     couriers, failures = [], []
