--- a/src/bin/delivery-gateway/event_loop/admission.rs
+++ b/src/bin/delivery-gateway/event_loop/admission.rs
@@ -5,12 +5,11 @@
 use tracing::debug;
 
 use super::EventLoop;
-use crate::completed_messages::CompletedMatch;
-use crate::events::{EnqueueReply, EnqueueRequest};
-use crate::journal::{AcceptedRecord, JournalError};
+use crate::events::{EnqueueReply, EnqueueRequest, StopReason};
+use crate::journal::{AcceptedRecord, CompletedMatch, JournalError};
 
 impl EventLoop {
-    /// Replies to a request. A message that it accepts is withdrawn if its client disconnected before the reply.
+    /// Replies to a request. A message that it accepts is withdrawn if its client's connection has ended meanwhile.
     pub(super) fn answer_enqueue(
         &mut self,
         now: Time,
@@ -63,13 +62,14 @@
         if let Some(number) = self.pending.message_number(&request.id) {
             // Either the client repeats its request on a new connection, or another client uses the same id.
             let pending = self.journal.state.pending.get(&number);
-            if !pending.is_some_and(|pending| request.matches_pending(&pending.message)) {
+            if !pending.is_some_and(|pending| request.content() == pending.message.content()) {
                 return Some(EnqueueReply::Error("the id is in use for another message"));
             }
             self.pending.mark_shared(&request.id);
             return Some(EnqueueReply::AlreadyAccepted);
         }
-        self.completed.find(request).map(|completed| match completed {
+        let completed = self.journal.state.tombstones.find(&request.id, &request.content());
+        completed.map(|completed| match completed {
             CompletedMatch::SameMessage => EnqueueReply::AlreadyAccepted,
             CompletedMatch::OtherMessage => EnqueueReply::Error("the id was that of another message"),
         })
@@ -115,13 +115,29 @@
         }
     }
 
-    /// Drops a message whose client disconnected before the reply that it was accepted. The message stays if a later
-    /// request for it was acknowledged meanwhile, because that client expects its outcome.
+    /// Withdraws a message whose client disconnected before the reply that it was accepted.
     pub(super) fn withdraw_unacknowledged(&mut self, now: Time, message: MessageId) {
-        let id = self.journal.state.pending.get(&message.0).map(|pending| &pending.message.id);
-        if id.is_some_and(|id| self.pending.can_withdraw(id)) {
-            self.remove_message(message);
-            self.scheduler.handle(now, Event::MessageAbandoned(message));
+        if let Some(pending) = self.journal.state.pending.get(&message.0) {
+            self.pending.mark_abandoned(&pending.message.id);
+            // A call that has been sent goes on: its outcome decides whether the message is withdrawn.
+            self.in_flight.stop(message, StopReason::Withdrawn);
+            self.withdraw_if_abandoned(now, message);
         }
     }
+
+    /// Drops a message whose client disconnected before the reply, if it certainly has not run. Its id is free again
+    /// then. Otherwise the message stays and is delivered like any other, because its id must not be forgotten: the
+    /// client may repeat its request, which would run the message again. A message that a later request was acknowledged
+    /// for stays as well, because that client expects its outcome.
+    pub(super) fn withdraw_if_abandoned(&mut self, now: Time, message: MessageId) {
+        let Some(pending) = self.journal.state.pending.get(&message.0) else { return };
+        let id = &pending.message.id;
+        if pending.may_have_run() || !self.pending.is_abandoned(id) {
+            return;
+        }
+        self.pending.remove(id);
+        let withdrawn = self.journal.withdraw(message.0);
+        self.journal_errors.log_failure(withdrawn);
+        self.scheduler.handle(now, Event::MessageAbandoned(message));
+    }
 }
--- a/src/bin/delivery-gateway/event_loop/delivery.rs
+++ b/src/bin/delivery-gateway/event_loop/delivery.rs
@@ -271,13 +271,14 @@
         }
         if completes_message {
             self.counters.delivered += u32::from(outcome == AttemptOutcome::Delivered);
-            self.complete_message(message);
+            self.complete_message(now, message);
         } else {
             self.record_attempt_outcome(message, outcome);
         }
         let finished =
             FinishedAttempt { message, endpoint, attempt, outcome, latency, completes_message, load_report };
         self.scheduler.handle(now, Event::AttemptFinished(finished));
+        self.withdraw_if_abandoned(now, message);
         if self.directory.is_removed(endpoint) {
             self.forget_removed_endpoints();
         }
--- a/src/bin/delivery-gateway/event_loop/mod.rs
+++ b/src/bin/delivery-gateway/event_loop/mod.rs
@@ -44,7 +44,6 @@
 use self::reporting::{JournalErrorLog, LoadCounters, RateLimitedLines, REPORT_SWEEPS};
 use self::shutdown::Shutdown;
 use crate::clock::Clock;
-use crate::completed_messages::CompletedMessages;
 use crate::events::{Channels, GatewayEvent, StopReason};
 use crate::http_client::Pool;
 use crate::journal::{FinalOutcome, Journal};
@@ -52,9 +51,13 @@
 
 /// The maximum number of events handled in one step of the loop, before the next decision of the scheduler.
 const MAX_EVENTS_PER_STEP: usize = 256;
-/// The interval between sweeps. Each closes expired idle connections; every [`REPORT_SWEEPS`]th logs the load.
+/// The interval between sweeps. Each closes expired idle connections and forgets old tombstones; every [`REPORT_SWEEPS`]th logs the load.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The minimum time from a message's end for which its tombstone is kept, unless its room is needed. The settings may
+/// have had longer deadlines when the message was accepted.
+const MIN_TOMBSTONE_RETENTION: Duration = Duration::from_secs(30);
+
 /// The number of idle connections kept per call slot. Most endpoints have few calls in flight at a time, so the gateway
 /// needs far more connections than slots to keep one ready at each endpoint.
 pub const IDLE_CONNECTIONS_PER_SLOT: usize = 4;
@@ -78,7 +81,8 @@
     catalog: Catalog,
     max_pending_messages: usize,
     pending: PendingIndex,
-    completed: CompletedMessages,
+    /// The longest deadline of any class. A client that repeats its request does so before the deadline.
+    longest_deadline: Duration,
     in_flight: InFlightCalls,
     /// Checks each attempt against the delivery rules before it is sent.
     guard: SendGuard,
@@ -131,6 +135,7 @@
         let max_idle_connections = max_idle_connections(&settings, endpoint_sockets);
         let guard = SendGuard::new(&settings);
         let clock = start_clock(&mut journal);
+        journal.state.tombstones.limit_ends(clock.journal_ms(clock.now()));
         let pool = Pool::new(
             settings.connect_timeout,
             settings.connection_idle_timeout,
@@ -148,7 +153,7 @@
             max_idle_connections,
             catalog,
             pending: PendingIndex::default(),
-            completed: CompletedMessages::new(longest_deadline),
+            longest_deadline,
             in_flight: InFlightCalls::default(),
             guard,
             persisted_circuits: PersistedCircuitWriter::default(),
@@ -210,6 +215,7 @@
                 () = sleep_until(self.flush_retry_at.unwrap_or(unused)), if self.flush_retry_at.is_some() => {}
                 _ = sweep.tick() => {
                     self.pool.close_expired();
+                    self.forget_old_tombstones();
                     sweeps += 1;
                     if sweeps % REPORT_SWEEPS == 0 {
                         self.report();
@@ -223,6 +229,18 @@
         }
     }
 
+    /// Forgets tombstones by age: after the longest deadline, but not within [`MIN_TOMBSTONE_RETENTION`] while at most
+    /// half of their room is in use.
+    fn forget_old_tombstones(&mut self) {
+        let retention = if self.journal.state.tombstones.is_half_full() {
+            self.longest_deadline
+        } else {
+            self.longest_deadline.max(MIN_TOMBSTONE_RETENTION)
+        };
+        let now_ms = self.clock.journal_ms(self.clock.now());
+        self.journal.state.tombstones.forget_until(now_ms.saturating_sub(retention.as_millis() as u64));
+    }
+
     /// Handles events and a due timer, executes the scheduler's decisions, and retries failed writes.
     fn step(&mut self, events: impl Iterator<Item = GatewayEvent>) {
         let started_at = Instant::now();
--- a/src/bin/delivery-gateway/event_loop/outcomes.rs
+++ b/src/bin/delivery-gateway/event_loop/outcomes.rs
@@ -5,7 +5,7 @@
 //! it again after the notification, and no attempt of the first message may follow. While the journal cannot be
 //! written, notifications are deferred, at most until the message's deadline.
 
-use delivery_gateway::{Event, MessageId, Time};
+use delivery_gateway::{Event, Idempotency, MessageId, Time};
 use std::time::Duration;
 use tokio::time::Instant;
 use tracing::debug;
@@ -69,7 +69,7 @@
         for message in messages {
             let id = self.journal.state.pending.get(&message.0).map_or("", |pending| &pending.message.id);
             debug!(id, "notification acknowledged");
-            self.complete_message(message);
+            self.complete_message(now, message);
             self.scheduler.handle(now, Event::OutcomeAcknowledged(message));
         }
     }
@@ -93,20 +93,15 @@
         }
     }
 
-    /// Removes a completed message, and keeps a tombstone so that no other message takes its id.
-    pub(super) fn complete_message(&mut self, message: MessageId) {
-        if let Some(pending) = self.journal.state.pending.get(&message.0) {
-            self.completed.insert(&pending.message);
-        }
-        self.remove_message(message);
-    }
-
-    /// Removes a message from the journal and from the index of pending messages. Adds no tombstone.
-    pub(super) fn remove_message(&mut self, message: MessageId) {
-        if let Some(pending) = self.journal.state.pending.get(&message.0) {
-            self.pending.remove(&pending.message.id);
-            let removed = self.journal.complete(message.0);
-            self.journal_errors.log_failure(removed);
-        }
+    /// Removes a completed message. The journal keeps a tombstone, so that the message doesn't run again if its request
+    /// is repeated, and no other message takes its id.
+    pub(super) fn complete_message(&mut self, now: Time, message: MessageId) {
+        let Some(pending) = self.journal.state.pending.get(&message.0) else { return };
+        self.pending.remove(&pending.message.id);
+        let class = self.catalog.class_id(&pending.message.class);
+        let is_idempotent =
+            class.is_some_and(|class| self.catalog.class(class).idempotency == Idempotency::Idempotent);
+        let completed = self.journal.complete(message.0, self.clock.journal_ms(now), is_idempotent);
+        self.journal_errors.log_failure(completed);
     }
 }
--- a/src/bin/delivery-gateway/event_loop/pending_index.rs
+++ b/src/bin/delivery-gateway/event_loop/pending_index.rs
@@ -1,16 +1,26 @@
 //! Looks up pending messages by the ids that their clients chose, and tracks which may still be withdrawn.
 //!
-//! A message is withdrawn (dropped without a final outcome) if the client of its first request disconnected before its
-//! reply. Once a later request for the message was acknowledged, the message is shared by both requests. It then stays,
-//! because the other client expects its outcome.
+//! A message is abandoned if the client of its first request disconnected before its reply. It is withdrawn (dropped
+//! without a final outcome) if it certainly has not run. Once a later request for the message was acknowledged, the
+//! message is shared by both requests. It then stays, because the other client expects its outcome.
 
 use delivery_gateway::MessageId;
 use std::collections::HashMap;
 
+/// The clients that expect the outcome of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Audience {
+    /// The client of the first request, which may still abandon the message.
+    FirstClient,
+    /// No client: the one of the first request disconnected before its reply.
+    Abandoned,
+    /// At least the client of a later request, which was acknowledged.
+    Shared,
+}
+
 struct PendingEntry {
     message_number: u32,
-    /// Whether a later request for the same message was acknowledged.
-    is_shared: bool,
+    audience: Audience,
 }
 
 /// The numbers of pending messages by their ids. The messages themselves are in the journal's state.
@@ -20,15 +30,22 @@
 }
 
 impl PendingIndex {
-    /// Adds a message. It counts as not shared until [`mark_shared`](Self::mark_shared) is called.
+    /// Adds a message. It belongs to the client of its first request until it is marked otherwise.
     pub(super) fn insert(&mut self, id: String, message_number: u32) {
-        self.entries.insert(id, PendingEntry { message_number, is_shared: false });
+        self.entries.insert(id, PendingEntry { message_number, audience: Audience::FirstClient });
     }
 
     /// Records that a later request for a message was acknowledged.
     pub(super) fn mark_shared(&mut self, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.is_shared = true;
+            entry.audience = Audience::Shared;
+        }
+    }
+
+    /// Records that the client of a message's first request disconnected before its reply. A shared message stays shared.
+    pub(super) fn mark_abandoned(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id).filter(|entry| entry.audience != Audience::Shared) {
+            entry.audience = Audience::Abandoned;
         }
     }
 
@@ -41,14 +58,14 @@
         self.entries.get(id).map(|entry| entry.message_number)
     }
 
-    /// Returns whether a message is pending and not shared, so that it may be withdrawn.
-    pub(super) fn can_withdraw(&self, id: &str) -> bool {
-        self.entries.get(id).is_some_and(|entry| !entry.is_shared)
+    /// Returns whether a message is pending and abandoned.
+    pub(super) fn is_abandoned(&self, id: &str) -> bool {
+        self.entries.get(id).is_some_and(|entry| entry.audience == Audience::Abandoned)
     }
 
     /// Returns the shared messages.
     pub(super) fn shared_messages(&self) -> Vec<MessageId> {
-        let shared = self.entries.values().filter(|entry| entry.is_shared);
+        let shared = self.entries.values().filter(|entry| entry.audience == Audience::Shared);
         shared.map(|entry| MessageId(entry.message_number)).collect()
     }
 
--- a/src/bin/delivery-gateway/journal/compaction.rs
+++ b/src/bin/delivery-gateway/journal/compaction.rs
@@ -11,6 +11,7 @@
 use super::frame::encode_frame;
 use super::record::{PersistedCircuitChange, Record};
 use super::state::JournalState;
+use super::tombstones::Tombstone;
 
 /// The file that has replaced the journal.
 pub struct CompactedFile {
@@ -82,6 +83,7 @@
         for uid in &state.disabled_endpoints {
             self.write(Record::EndpointDisabled { uid: uid.clone(), is_disabled: true })?;
         }
+        self.write_tombstones(state)?;
         for (&number, pending) in &state.pending {
             self.write(Record::Pending { number, message: pending.clone() })?;
             let tenant = &pending.message.tenant;
@@ -91,4 +93,19 @@
         }
         Ok(())
     }
+
+    /// Writes the tombstones and the highest number of a message, which may be over. Must come before the pending
+    /// messages: in a reader's state, the number is not pending yet.
+    fn write_tombstones(&mut self, state: &JournalState) -> Result<(), JournalError> {
+        let tombstones: Vec<Tombstone> = state.tombstones.iter().collect();
+        let mut lists = chunks(&tombstones)?;
+        if lists.is_empty() && state.last_number > 0 {
+            lists.push(Vec::new());
+        }
+        for list in lists {
+            let tombstones = Some(list.into_iter().copied().collect());
+            self.write(Record::Completed { number: state.last_number, tombstones })?;
+        }
+        Ok(())
+    }
 }
--- a/src/bin/delivery-gateway/journal/error.rs
+++ b/src/bin/delivery-gateway/journal/error.rs
@@ -52,6 +52,8 @@
     RecordTooLong { bytes: usize, limit: usize },
     #[error("live records would take {needed} bytes, the maximum is {limit}; the message is not accepted")]
     LiveBytesExceeded { needed: u64, limit: u64 },
+    #[error("{tombstones} tombstones and the pending messages exceed the maximum of {limit}; the message is not accepted")]
+    TombstonesFull { tombstones: usize, limit: usize },
     #[error("the journal would take {needed} bytes, the maximum is {limit}; the record is not written now")]
     FileFull { needed: u64, limit: u64 },
     #[error("the compacted journal exceeds the {available} bytes left for it; the journal stays as it is")]
--- a/src/bin/delivery-gateway/journal/mod.rs
+++ b/src/bin/delivery-gateway/journal/mod.rs
@@ -13,6 +13,7 @@
 //!
 //! - [`record`]: the kinds of records. A new kind is added at the end, so that older journals can still be read.
 //! - [`state`]: the state that results from the records; [`compaction`]: rewrites the journal from the state.
+//! - [`tombstones`]: the part of the state that remembers messages that are over, by the hashes of [`message_content`].
 //! - [`frame`] and [`mod@chunks`]: the format of records on disk, and of lists too long for one record.
 //! - [`mod@file`], [`clock_file`], [`space`] and [`error`]: the two files, their disk space, and their errors.
 
@@ -22,9 +23,11 @@
 mod error;
 mod file;
 mod frame;
+mod message_content;
 mod record;
 mod space;
 mod state;
+mod tombstones;
 
 use delivery_gateway::discovery::DiscoveryUpdate;
 use std::collections::VecDeque;
@@ -39,13 +42,16 @@
 use record::Record;
 use space::{live_bytes, DiskSpace};
 use state::JournalState;
+use tombstones::Tombstone;
 
 pub use clock_file::ClockReading;
 pub use error::JournalError;
+pub use message_content::MessageContent;
 pub use record::{
     AcceptedRecord, CircuitKey, FinalOutcome, PendingMessage, PersistedCircuit, PersistedCircuitChange,
     SentRecord,
 };
+pub use tombstones::CompletedMatch;
 
 /// The minimum time between a failed compaction and the next one.
 const COMPACTION_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -78,7 +84,7 @@
     /// A file cannot be opened or read. No file has been changed, and the call may be retried.
     pub fn open(folder: &Path, disk_bytes: u64) -> Result<Self, JournalError> {
         let path = folder.join("journal");
-        let mut state = JournalState::default();
+        let mut state = JournalState::new(disk_bytes);
         let mut file = JournalFile::replay(&path, |record| state.apply(record))?;
         let clock = ClockFile::open(&path)?;
         file.truncate_tail();
@@ -147,6 +153,7 @@
             return Err(JournalError::TornTail);
         }
         let number = self.state.last_number + 1;
+        self.check_tombstones()?;
         let message_bytes = live_bytes(&message);
         self.space.check_live(self.live_bytes + message_bytes, self.base_bytes())?;
         let tenant = message.tenant.clone();
@@ -195,15 +202,25 @@
         self.write_or_defer(Record::OutcomeDecided { number, final_outcome })
     }
 
-    /// Records that a message is completed: it was delivered, its notification was acknowledged, or its client withdrew
-    /// it.
+    /// Records at `ended_ms`, in journal time, that a message is completed: it was delivered, or its notification was
+    /// acknowledged. Its tombstone stays. `is_idempotent`: its class permits that it runs again at any time.
     ///
     /// # Errors
     /// The record is deferred.
-    pub fn complete(&mut self, number: u32) -> Result<(), JournalError> {
+    pub fn complete(&mut self, number: u32, ended_ms: u64, is_idempotent: bool) -> Result<(), JournalError> {
         let Some(pending) = self.state.pending.get(&number) else { return Ok(()) };
-        self.live_bytes = self.live_bytes.saturating_sub(live_bytes(&pending.message));
-        self.write_or_defer(Record::Completed { number })
+        let is_expendable = is_idempotent || !pending.may_have_run();
+        let message = &pending.message;
+        let tombstone = Tombstone::new(&message.id, &message.content(), ended_ms, is_expendable);
+        self.remove(number, vec![tombstone])
+    }
+
+    /// Records that a message was withdrawn, which must certainly not have run. Its id is free again.
+    ///
+    /// # Errors
+    /// The record is deferred.
+    pub fn withdraw(&mut self, number: u32) -> Result<(), JournalError> {
+        self.remove(number, Vec::new())
     }
 
     /// Applies an update of the endpoint list, and records it. The next process reads either all of the update or none.
@@ -275,6 +292,22 @@
         written
     }
 
+    /// Checks that the tombstone of one more message has room when the message ends, beside those of all pending ones.
+    fn check_tombstones(&self) -> Result<(), JournalError> {
+        let JournalState { tombstones, pending, .. } = &self.state;
+        if tombstones.has_room_for(pending.len() + 1) {
+            return Ok(());
+        }
+        Err(JournalError::TombstonesFull { tombstones: tombstones.len(), limit: tombstones.max_count() })
+    }
+
+    /// Removes a pending message, and adds tombstones.
+    fn remove(&mut self, number: u32, tombstones: Vec<Tombstone>) -> Result<(), JournalError> {
+        let Some(pending) = self.state.pending.get(&number) else { return Ok(()) };
+        self.live_bytes = self.live_bytes.saturating_sub(live_bytes(&pending.message));
+        self.write_or_defer(Record::Completed { number, tombstones: Some(tombstones) })
+    }
+
     /// Calls [`write_or_defer`](Self::write_or_defer) for the end of an attempt, if its start was recorded.
     fn end_attempt(&mut self, number: u32, record: Record) -> Result<(), JournalError> {
         if !self.state.has_attempt_in_flight(number) {
--- a/src/bin/delivery-gateway/journal/record.rs
+++ b/src/bin/delivery-gateway/journal/record.rs
@@ -5,6 +5,9 @@
 use delivery_gateway::{CircuitRecord, Time};
 use serde::{Deserialize, Serialize};
 
+use super::message_content::MessageContent;
+use super::tombstones::{none_if_missing, Tombstone};
+
 /// One change of the journal's state.
 #[derive(Clone, Serialize, Deserialize)]
 pub enum Record {
@@ -16,8 +19,15 @@
     AttemptFinished { number: u32, may_have_run: bool },
     /// The message has its final outcome, and its client has not been notified yet.
     OutcomeDecided { number: u32, final_outcome: FinalOutcome },
-    /// The message is completed and removed from the state.
-    Completed { number: u32 },
+    /// The message is completed and removed from the state. Compaction writes tombstones with a number that is not
+    /// pending at that point.
+    Completed {
+        number: u32,
+        /// The tombstone of the message, or in a compacted file tombstones of any messages. None in records of older
+        /// builds, which end before this field; they ignore it.
+        #[serde(deserialize_with = "none_if_missing")]
+        tombstones: Option<Vec<Tombstone>>,
+    },
     /// A message with its whole recorded state; written by compaction.
     Pending { number: u32, message: PendingMessage },
     /// A snapshot or a delta of the endpoint list.
@@ -65,6 +75,17 @@
 }
 
 impl AcceptedRecord {
+    /// Returns the content that identifies the message besides its id.
+    pub fn content(&self) -> MessageContent<'_> {
+        MessageContent {
+            ordering_key: self.ordering_key,
+            class: &self.class,
+            destination: self.destination,
+            idempotency_key: self.idempotency_key.as_deref(),
+            body: &self.body,
+        }
+    }
+
     /// Returns the size of the texts and the body, in bytes.
     pub fn content_bytes(&self) -> usize {
         let key = self.idempotency_key.as_ref().map_or(0, String::len);
@@ -105,6 +126,13 @@
     pub final_outcome: Option<FinalOutcome>,
 }
 
+impl PendingMessage {
+    /// Returns whether an endpoint may have processed the message, or may still process it.
+    pub fn may_have_run(&self) -> bool {
+        self.first_uncertain_attempt.is_some() || self.in_flight.is_some()
+    }
+}
+
 impl From<AcceptedRecord> for PendingMessage {
     fn from(message: AcceptedRecord) -> Self {
         PendingMessage {
--- a/src/bin/delivery-gateway/journal/state.rs
+++ b/src/bin/delivery-gateway/journal/state.rs
@@ -9,6 +9,7 @@
 use super::record::{
     CircuitKey, PendingMessage, PersistedCircuit, PersistedCircuitChange, Record, SentRecord,
 };
+use super::tombstones::{Tombstone, Tombstones};
 
 /// The maximum size of a destination in a record, in bytes.
 const DESTINATION_BYTES: u64 = 5;
@@ -16,15 +17,16 @@
 const RECORD_OVERHEAD_BYTES: u64 = HEADER_BYTES as u64 + 24;
 /// The size of the tag of a [`PersistedCircuitChange`], in bytes.
 const CHANGE_TAG_BYTES: u64 = 1;
-/// The maximum number of list records in a compacted file of the usual size: one each for endpoints, destinations and
-/// circuits, and as many again.
-const LIST_RECORDS: u64 = 6;
+/// The maximum number of list records in a compacted file of the usual size: one each for endpoints, destinations,
+/// circuits and tombstones, and as many again.
+const LIST_RECORDS: u64 = 8;
 
 /// The state that results from applying the journal's records in order.
-#[derive(Default)]
 pub struct JournalState {
     /// Pending messages by their numbers. Messages are numbered in the order of acceptance.
     pub pending: BTreeMap<u32, PendingMessage>,
+    /// Tombstones of messages that are over.
+    pub tombstones: Tombstones,
     /// The highest number of a message in the records; 0 if there is none. The next message gets the next number.
     pub last_number: u32,
     /// The revision of the endpoint list. 0 if no list was recorded.
@@ -44,6 +46,22 @@
 }
 
 impl JournalState {
+    /// Creates the state of an empty journal with this disk space.
+    pub fn new(disk_bytes: u64) -> Self {
+        JournalState {
+            pending: BTreeMap::new(),
+            tombstones: Tombstones::new(disk_bytes),
+            last_number: 0,
+            endpoints_revision: 0,
+            endpoints: BTreeMap::new(),
+            endpoints_bytes: 0,
+            destinations: BTreeSet::new(),
+            circuits: PersistedCircuits::default(),
+            disabled_endpoints: BTreeSet::new(),
+            endpoint_parts: Vec::new(),
+        }
+    }
+
     /// Applies one record. A record of a message that is not pending changes nothing.
     pub fn apply(&mut self, record: Record) {
         match record {
@@ -57,9 +75,7 @@
                     pending.final_outcome = Some(final_outcome);
                 }
             }
-            Record::Completed { number } => {
-                self.pending.remove(&number);
-            }
+            Record::Completed { number, tombstones } => self.complete(number, tombstones),
             Record::Tenant { number, tenant } => {
                 if let Some(pending) = self.pending.get_mut(&number) {
                     pending.message.tenant = tenant;
@@ -99,6 +115,7 @@
             + self.endpoints_bytes
             + self.destinations.len() as u64 * DESTINATION_BYTES
             + self.circuits.bytes
+            + self.tombstones.bytes()
             + disabled_bytes
     }
 
@@ -131,6 +148,17 @@
         self.pending.insert(number, message);
     }
 
+    /// Removes a message and adds tombstones. A record without that field is of an older build, so that the message's
+    /// own tombstone is derived from its recorded state.
+    fn complete(&mut self, number: u32, tombstones: Option<Vec<Tombstone>>) {
+        self.last_number = self.last_number.max(number);
+        let completed = self.pending.remove(&number);
+        let derived = || completed.as_ref().and_then(derived_tombstone).into_iter().collect();
+        for tombstone in tombstones.unwrap_or_else(derived) {
+            self.tombstones.insert(tombstone);
+        }
+    }
+
     fn start_attempt(&mut self, number: u32, attempt: SentRecord) {
         let Some(pending) = self.pending.get_mut(&number) else { return };
         pending.attempts += 1;
@@ -168,6 +196,14 @@
     }
 }
 
+/// Returns the tombstone of a message whose end an older build recorded without one. The time of the end is unknown, so
+/// that the deadline stands for it. None if the message was withdrawn, and certainly did not run.
+fn derived_tombstone(completed: &PendingMessage) -> Option<Tombstone> {
+    let PendingMessage { message, attempts, final_outcome, .. } = completed;
+    let is_known = *attempts > 0 || final_outcome.is_some();
+    is_known.then(|| Tombstone::new(&message.id, &message.content(), message.deadline_ms, false))
+}
+
 /// Returns the size of an entry in a record, in bytes; 0 if it cannot be encoded, so that it is in no record either.
 fn entry_bytes(entry: &impl Serialize) -> u64 {
     encoded_bytes(entry).map_or(0, |bytes| bytes as u64)
--- a/src/bin/delivery-gateway/main.rs
+++ b/src/bin/delivery-gateway/main.rs
@@ -6,7 +6,6 @@
 mod background;
 mod budget;
 mod clock;
-mod completed_messages;
 mod config;
 mod event_loop;
 mod events;
--- a/src/bin/delivery-gateway/resp2/enqueue.rs
+++ b/src/bin/delivery-gateway/resp2/enqueue.rs
@@ -7,7 +7,7 @@
 
 use super::codec::MAX_MESSAGE_BODY_BYTES;
 use crate::events::EnqueueRequest;
-use crate::journal::AcceptedRecord;
+use crate::journal::MessageContent;
 
 /// The maximum length of a token, which is an id or an idempotency key.
 const MAX_TOKEN_CHARS: usize = 128;
@@ -119,14 +119,15 @@
 }
 
 impl EnqueueRequest {
-    /// Returns whether the request enqueues this pending message once more. The time left is not compared, since it
-    /// differs from request to request. Neither are the tenant and the mark of a redelivery.
-    pub fn matches_pending(&self, pending: &AcceptedRecord) -> bool {
-        self.ordering_key == pending.ordering_key
-            && self.class == pending.class
-            && self.destination == pending.destination
-            && self.idempotency_key == pending.idempotency_key
-            && self.body == pending.body
+    /// Returns the content that identifies the message besides its id.
+    pub fn content(&self) -> MessageContent<'_> {
+        MessageContent {
+            ordering_key: self.ordering_key,
+            class: &self.class,
+            destination: self.destination,
+            idempotency_key: self.idempotency_key.as_deref(),
+            body: &self.body,
+        }
     }
 }
 
--- /dev/null
+++ b/tests/departed_clients.rs
@@ -0,0 +1,97 @@
+//! Messages of clients that leave before they have read a reply, by a close or a reset, in either process of an upgrade.
+//! Such a client may come again with the same request: the message must not run twice, and must not get lost.
+
+mod environment;
+
+use environment::*;
+use std::time::Duration;
+
+/// The maximum number of payments until one has its call out when its reply fails.
+const MAX_TRIES: usize = 10;
+
+/// A payment whose client has left without a reply, and its call, which is out.
+struct AbandonedPayment {
+    id: String,
+    call: Call,
+}
+
+/// Sends requests whose replies cannot be written until the call of one of them is sent all the same. A call that has no
+/// idle connection has not been sent yet when the reply fails, and is withdrawn.
+fn abandon_payment(environment: &TestEnvironment, gateway: &RunningGateway) -> AbandonedPayment {
+    assert_eq!(gateway.client().enqueue("warm-up", "0", "salary", 1, b"x"), "+OK");
+    environment.call().answer("200 OK", "");
+    for number in 0..MAX_TRIES {
+        let id = format!("p{number}");
+        environment.fail(SystemCall::TcpWrite, Fault::always(&[libc::EPIPE]).times(1));
+        let mut client = gateway.client();
+        client.send_enqueue(&id, "0", "salary", 1, b"pay");
+        assert!(client.is_closed());
+        match environment.event_within(Duration::from_millis(300)) {
+            Some(StubEvent::Call(call)) => {
+                assert_eq!(call.id, id);
+                return AbandonedPayment { id, call };
+            }
+            Some(StubEvent::Notification(line)) => panic!("unexpected notification: {line}"),
+            None => {}
+        }
+    }
+    panic!("no call was sent before its reply failed");
+}
+
+/// A client that left before its reply withdrew the message, also while its call was out. Its id was free then, and the
+/// payment was made again when the client came back.
+#[test]
+fn a_payment_whose_call_is_out_is_known_after_its_client_has_left() {
+    let environment = TestEnvironment::with_faults(1, 1);
+    let gateway = environment.start();
+    let AbandonedPayment { id, call } = abandon_payment(&environment, &gateway);
+    assert_eq!(gateway.client().enqueue(&id, "0", "salary", 1, b"pay"), "+OK");
+    call.answer("200 OK", "");
+    environment.expect_nothing();
+    let gateway = gateway.kill_and_restart();
+    assert_eq!(gateway.client().enqueue(&id, "0", "salary", 1, b"pay"), "+OK");
+    environment.expect_nothing();
+}
+
+/// The outcome of the call decides what becomes of such a message. If the endpoint certainly has not processed it, the
+/// message is withdrawn: its id is free, and a repeated request is a new message that is delivered.
+#[test]
+fn an_abandoned_message_that_has_not_run_is_withdrawn() {
+    let environment = TestEnvironment::with_faults(1, 1);
+    let gateway = environment.start();
+    let AbandonedPayment { id, call } = abandon_payment(&environment, &gateway);
+    call.answer("503 Busy", "X-Line-Busy: 1\r\n");
+    environment.expect_nothing();
+    assert_eq!(gateway.client().enqueue(&id, "0", "salary", 1, b"pay"), "+OK");
+    let call = environment.call();
+    assert_eq!(call.id, id);
+    call.answer("200 OK", "");
+    environment.expect_nothing();
+}
+
+/// A handover between the lost reply and the repeated request: the successor must know the payment, whether its call is
+/// finished by the predecessor or has to end before the handover.
+#[test]
+fn a_payment_whose_call_is_out_is_known_to_successors_after_its_client_has_left() {
+    for zone in ["kingston", "elsewhere"] {
+        let environment = TestEnvironment::with_faults(1, 1);
+        let predecessor = environment.start();
+        let AbandonedPayment { id, call } = abandon_payment(&environment, &predecessor);
+        environment.zone.set(zone);
+        let successor = environment.start_beside();
+        let mut call = Some(call);
+        if zone == "elsewhere" {
+            predecessor.wait_for_log_line("finishing calls before the handover");
+            call.take().unwrap().answer("200 OK", "");
+        }
+        let successor = successor.listening();
+        assert_eq!(successor.client().enqueue(&id, "0", "salary", 1, b"pay"), "+OK");
+        if let Some(call) = call {
+            call.answer("200 OK", "");
+        }
+        environment.expect_nothing();
+        drop(predecessor);
+        assert_eq!(successor.client().enqueue(&id, "0", "salary", 1, b"pay"), "+OK");
+        environment.expect_nothing();
+    }
+}
--- a/tests/journals.rs
+++ b/tests/journals.rs
@@ -2,7 +2,7 @@
 
 mod environment;
 #[path = "../src/bin/delivery-gateway/journal/mod.rs"]
-#[allow(dead_code)]
+#[allow(dead_code, unused_imports)]
 mod journal;
 
 use bytes::Bytes;
