Let a refusal end one request, and the connection's own task end the connection

Cause: an eviction was a stored signal (ConnectionSlots::evict_one, Notify) that outlived the state it was decided on, so that it ended a request that was 1 ms old; and every refusal of an incomplete request ended the connection by reading and discarding what followed (refusal.rs, close_after_reply). Ruled out: the time limits, as the refused request was young, and the event loop, which the lost requests never reached. The second cause shows without evictions: requests behind one that timed out were lost as well.

Change: an eviction is a state of the slot, and lapses with it. A refusal is the reply to one request: its rest is skipped and the requests behind it are served, on every path; the separate path for want of a permit goes. Only malformed bytes still end a connection by a drain.

--- a/src/bin/delivery-gateway/resp2/connection/mod.rs
+++ b/src/bin/delivery-gateway/resp2/connection/mod.rs
@@ -1,9 +1,14 @@
-//! Serves one client connection: reads requests and replies to them in order. It closes the connection when the client
-//! exceeds a timeout or sends malformed RESP2, when the connection is evicted, and when the process shuts down or is a
-//! lame duck. During a handover it transfers the connection to the successor instead.
+//! Serves one client connection: reads requests and replies to them in order.
 //!
-//! A request of which a part has been read gets a reply before its connection is closed, whatever ends it. Each wait
-//! ends early when the service phase changes, so that neither a handover nor the end of the process waits for a client.
+//! Only the connection's own task decides that it ends, and only when it owes nothing: between two requests, or within
+//! one that has been refused, when nothing more has arrived. An eviction, a time limit, a lame duck and a shutdown ask
+//! for that end; what has arrived by then is still served. During a handover the connection is transferred to the
+//! successor instead.
+//!
+//! A request of which a part has been read gets a reply, whatever ends the wait for its rest. If it is refused, its rest
+//! is skipped, and the requests behind it are served. Only after malformed RESP2, whose end is unknown, nothing more is
+//! served. Each wait ends early when the service phase changes, so that neither a handover nor the end of the process
+//! waits for a client.
 //!
 //! - [`reading`]: reads more of a request, and decides how long to wait for it.
 //! - [`refusal`]: refuses the request that is being read.
@@ -21,8 +26,8 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use self::refusal::Refusal;
-use super::codec::{decode_request, Reply};
+use self::refusal::{Refusal, SkipOutcome};
+use super::codec::{decode_request, Reply, RequestSkipper, RespError};
 use super::connection_slots::{ConnectionSlot, ConnectionSlots, ConnectionState};
 use crate::events::{EnqueueReply, EnqueueRequest, GatewayEvent, ServicePhase};
 
@@ -68,6 +73,8 @@
     phase: watch::Receiver<ServicePhase>,
     /// Bytes that have been read and not decoded yet.
     input: BytesMut,
+    /// Skips the rest of the request that was refused last. None if all of it has been read.
+    skipper: Option<RequestSkipper>,
     /// Encoded replies that have not been written yet.
     output: Vec<u8>,
     slot: ConnectionSlot,
@@ -80,7 +87,7 @@
     /// The client has closed its side, or has sent nothing more on a connection that is to be closed.
     Closed,
     /// The request is not complete, and its rest is not waited for any longer.
-    Incomplete(Refusal),
+    Refused(Refusal),
     /// The service phase has changed.
     PhaseChanged,
 }
@@ -91,18 +98,15 @@
     Closed,
     /// The successor continues, with this time limit for the bytes that the client has to send next.
     HandedOver(Instant),
-    /// The request that is being read is refused.
-    Refused(Refusal),
-    /// The request that is being read has been refused, and its rest has not arrived.
-    AlreadyRefused,
+    /// The bytes that were read are not a request, so that the start of the next one is unknown.
+    Malformed(RespError),
 }
 
 /// The result of waiting for a permit for a long request.
 enum PermitOutcome<'a> {
     Acquired(SemaphorePermit<'a>),
-    /// No permit was free in time.
+    /// No permit was free in time, or another connection needs the slot.
     Unavailable,
-    Evicted,
     /// The service phase has changed.
     PhaseChanged,
 }
@@ -133,6 +137,7 @@
             events,
             phase,
             input: BytesMut::from(transferred.buffer),
+            skipper: None,
             output: Vec::new(),
             slot,
         }
@@ -161,8 +166,7 @@
                 self.transfer(deadline);
                 Ok(())
             }
-            ServiceEnd::Refused(refusal) => self.refuse(refusal).await,
-            ServiceEnd::AlreadyRefused => self.close_after_reply().await,
+            ServiceEnd::Malformed(error) => self.refuse_malformed(&error).await,
         }
     }
 
@@ -171,7 +175,12 @@
         let slots = self.slot.slots().clone();
         let mut long_request: Option<SemaphorePermit> = None;
         loop {
-            match decode_request(&mut self.input) {
+            match self.skip_refused_request() {
+                Ok(SkipOutcome::Ended) => deadline = self.await_next_request(),
+                Ok(SkipOutcome::NothingToSkip | SkipOutcome::Incomplete) => {}
+                Err(error) => return Ok(ServiceEnd::Malformed(error)),
+            }
+            match self.next_request() {
                 Ok(Some(elements)) => {
                     if self.serve(&elements).await? == ServeOutcome::GatewayEnded {
                         return Ok(ServiceEnd::Closed);
@@ -186,36 +195,43 @@
                     continue;
                 }
                 Ok(None) => {}
-                Err(error) => return Ok(ServiceEnd::Refused(Refusal::Invalid(error))),
+                Err(error) => return Ok(ServiceEnd::Malformed(error)),
             }
             self.flush().await?;
-            if *self.phase.borrow() == ServicePhase::HandingOver {
+            if *self.phase.borrow() == ServicePhase::HandingOver && self.skipper.is_none() {
                 return Ok(ServiceEnd::HandedOver(deadline));
             }
             if self.input.len() >= READ_BYTES && long_request.is_none() {
                 match self.acquire_permit(&slots, deadline).await {
                     PermitOutcome::Acquired(permit) => long_request = Some(permit),
-                    PermitOutcome::PhaseChanged => continue,
-                    PermitOutcome::Evicted => return Ok(ServiceEnd::Refused(Refusal::Unserved)),
-                    PermitOutcome::Unavailable => {
-                        if let Some(end) = self.refuse_and_skip().await? {
-                            return Ok(end);
-                        }
-                        deadline = self.await_next_request();
-                        continue;
-                    }
+                    PermitOutcome::Unavailable => deadline = self.refuse(Refusal::Unserved).await?,
+                    PermitOutcome::PhaseChanged => {}
                 }
+                continue;
             }
-            let was_between_requests = self.input.is_empty();
-            match self.read(deadline, was_between_requests).await? {
-                ReadOutcome::Data if was_between_requests => deadline = self.await_rest_of_request(),
+            let was_between_requests = self.input.is_empty() && self.skipper.is_none();
+            match self.read(deadline).await? {
+                ReadOutcome::Data if was_between_requests => {
+                    deadline = self.await_rest_of_request();
+                }
                 ReadOutcome::Data | ReadOutcome::PhaseChanged => {}
                 ReadOutcome::Closed => return Ok(ServiceEnd::Closed),
-                ReadOutcome::Incomplete(refusal) => return Ok(ServiceEnd::Refused(refusal)),
+                ReadOutcome::Refused(refusal) => {
+                    deadline = self.refuse(refusal).await?;
+                    long_request = None;
+                }
             }
         }
     }
 
+    /// Removes the next complete request from the buffer. None while it is incomplete, or the one before it is skipped.
+    fn next_request(&mut self) -> Result<Option<Vec<Bytes>>, RespError> {
+        if self.skipper.is_some() {
+            return Ok(None);
+        }
+        decode_request(&mut self.input)
+    }
+
     /// Frees the memory of a long request, and keeps the bytes that follow it.
     fn free_request_memory(&mut self) {
         self.input = BytesMut::from(self.input.as_ref());
@@ -228,13 +244,12 @@
         deadline: Instant,
     ) -> PermitOutcome<'a> {
         let is_closing = *self.phase.borrow_and_update() == ServicePhase::Closing;
-        let eviction = self.slot.eviction();
         tokio::select! {
             biased;
             Ok(permit) = slots.long_requests.acquire() => PermitOutcome::Acquired(permit),
             () = ready(()), if is_closing => PermitOutcome::Unavailable,
             () = sleep_until(deadline) => PermitOutcome::Unavailable,
-            () = eviction.notified() => PermitOutcome::Evicted,
+            () = self.slot.evicted() => PermitOutcome::Unavailable,
             Ok(()) = self.phase.changed() => PermitOutcome::PhaseChanged,
         }
     }
--- a/src/bin/delivery-gateway/resp2/connection/reading.rs
+++ b/src/bin/delivery-gateway/resp2/connection/reading.rs
@@ -1,9 +1,11 @@
 //! Reads more of a request, and decides how long to wait for it in each phase of the service.
 
+use bytes::BytesMut;
 use delivery_gateway::socket::{memory_backoff, try_transfer, Transfer};
 use socket2::SockRef;
 use std::io::{self, Read};
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, Instant};
 use tracing::debug;
 
@@ -18,11 +20,11 @@
 impl ClientConnection {
     /// Reads more of a request. A connection is closed because the process shuts down or is a lame duck only between
     /// two requests, never within one, and a new connection may still send its first request.
-    pub(super) async fn read(
-        &mut self,
-        deadline: Instant,
-        is_between_requests: bool,
-    ) -> io::Result<ReadOutcome> {
+    pub(super) async fn read(&mut self, deadline: Instant) -> io::Result<ReadOutcome> {
+        if self.skipper.is_some() {
+            return self.read_to_skip(deadline).await;
+        }
+        let is_between_requests = self.input.is_empty();
         let phase = *self.phase.borrow_and_update();
         match phase {
             ServicePhase::HandingOver => return Ok(ReadOutcome::PhaseChanged),
@@ -32,13 +34,12 @@
             }
             ServicePhase::Serving | ServicePhase::LameDuck | ServicePhase::ShuttingDown => {}
         }
-        let eviction = self.slot.eviction();
         loop {
             tokio::select! {
                 biased;
                 // The buffer grows only when there is something to read, so that idle connections hold no memory.
                 ready = self.stream.readable() => ready?,
-                () = eviction.notified() => {
+                () = self.slot.evicted() => {
                     self.log_closing("another connection needs its slot");
                     let outcome = self.read_now().await?;
                     if is_between_requests {
@@ -51,17 +52,37 @@
                     if is_between_requests {
                         return self.read_now().await;
                     }
-                    return Ok(ReadOutcome::Incomplete(Refusal::Incomplete));
+                    return Ok(ReadOutcome::Refused(Refusal::Incomplete));
                 }
                 // The caller reads the new phase, and reads what has arrived meanwhile before it closes the connection.
                 Ok(()) = self.phase.changed() => return Ok(ReadOutcome::PhaseChanged),
             }
-            if let Some(outcome) = self.try_read().await? {
+            if let Some(outcome) = try_read(&self.stream, &mut self.input).await? {
                 return Ok(outcome);
             }
         }
     }
 
+    /// Reads more of a request that has been refused. Nothing is owed for it, so that the connection is closed when its
+    /// rest has not arrived by the deadline, or when the connection is evicted. It cannot be transferred within such a
+    /// request, and is closed as well during a handover.
+    async fn read_to_skip(&mut self, deadline: Instant) -> io::Result<ReadOutcome> {
+        if *self.phase.borrow_and_update() == ServicePhase::HandingOver {
+            return self.read_now().await;
+        }
+        tokio::select! {
+            biased;
+            outcome = read_ready(&self.stream, &mut self.input) => outcome,
+            () = self.slot.evicted() => {
+                // If more has arrived, the connection stays open, and another one is evicted.
+                self.slot.set_state(ConnectionState::Refused);
+                self.read_now().await
+            }
+            () = sleep_until(deadline) => self.read_now().await,
+            Ok(()) = self.phase.changed() => Ok(ReadOutcome::PhaseChanged),
+        }
+    }
+
     /// Reads what the client still sends between two requests while the process shuts down or is a lame duck. A new
     /// connection has [`LAST_REQUEST_TIMEOUT`] for its first request; on others only what has arrived is read.
     async fn read_last_request(&mut self) -> io::Result<ReadOutcome> {
@@ -69,7 +90,7 @@
             let mut phase = self.phase.clone();
             tokio::select! {
                 biased;
-                outcome = self.read_ready() => return outcome,
+                outcome = read_ready(&self.stream, &mut self.input) => return outcome,
                 () = sleep(LAST_REQUEST_TIMEOUT) => {}
                 Ok(()) = phase.changed() => return Ok(ReadOutcome::PhaseChanged),
             }
@@ -82,7 +103,7 @@
     async fn read_before_exit(&mut self, is_between_requests: bool) -> io::Result<ReadOutcome> {
         self.log_closing("the process ends");
         Ok(match self.read_now().await? {
-            ReadOutcome::Closed if !is_between_requests => ReadOutcome::Incomplete(Refusal::Unserved),
+            ReadOutcome::Closed if !is_between_requests => ReadOutcome::Refused(Refusal::Unserved),
             outcome => outcome,
         })
     }
@@ -92,7 +113,7 @@
     /// connection stays open.
     fn evicted_within_request(&self, outcome: ReadOutcome) -> ReadOutcome {
         match outcome {
-            ReadOutcome::Closed => ReadOutcome::Incomplete(Refusal::Incomplete),
+            ReadOutcome::Closed => ReadOutcome::Refused(Refusal::Incomplete),
             ReadOutcome::Data => {
                 self.slot.set_state(ConnectionState::PartialRequest);
                 ReadOutcome::Data
@@ -112,32 +133,6 @@
         );
     }
 
-    /// Waits for more bytes, and reads them.
-    async fn read_ready(&mut self) -> io::Result<ReadOutcome> {
-        loop {
-            self.stream.readable().await?;
-            if let Some(outcome) = self.try_read().await? {
-                return Ok(outcome);
-            }
-        }
-    }
-
-    /// Reads without waiting. Returns None if there was nothing to read, contrary to the runtime's notification, or if
-    /// the system is short of memory.
-    async fn try_read(&mut self) -> io::Result<Option<ReadOutcome>> {
-        self.input.reserve(READ_BYTES);
-        let ClientConnection { stream, input, .. } = self;
-        match try_transfer(|| stream.try_read_buf(input))? {
-            Transfer::Bytes(0) => Ok(Some(ReadOutcome::Closed)),
-            Transfer::Bytes(_) => Ok(Some(ReadOutcome::Data)),
-            Transfer::WouldBlock => Ok(None),
-            Transfer::OutOfMemory => {
-                memory_backoff().await;
-                Ok(None)
-            }
-        }
-    }
-
     /// Reads what has arrived, without waiting. Returns `Closed` if there is nothing. Reads from the socket directly,
     /// since the runtime may not have been notified of the last bytes yet, and they would be lost when the connection
     /// is closed.
@@ -156,8 +151,8 @@
     }
 
     /// Returns whether the client has closed its side, or the connection is broken. A client that closed it before its
-    /// reply has stopped waiting, and may already be enqueuing the message elsewhere. A client of which more bytes are
-    /// buffered is still waiting.
+    /// reply has stopped waiting, and may already be enqueuing the message elsewhere. Requests that it has sent before
+    /// may still be unread.
     pub(super) fn client_has_closed(&mut self) -> bool {
         let ClientConnection { stream, input, .. } = self;
         if !input.is_empty() {
@@ -169,3 +164,28 @@
         }
     }
 }
+
+/// Waits for more bytes, and reads them.
+async fn read_ready(stream: &TcpStream, input: &mut BytesMut) -> io::Result<ReadOutcome> {
+    loop {
+        stream.readable().await?;
+        if let Some(outcome) = try_read(stream, input).await? {
+            return Ok(outcome);
+        }
+    }
+}
+
+/// Reads without waiting. Returns None if there was nothing to read, contrary to the runtime's notification, or if the
+/// system is short of memory.
+async fn try_read(stream: &TcpStream, input: &mut BytesMut) -> io::Result<Option<ReadOutcome>> {
+    input.reserve(READ_BYTES);
+    match try_transfer(|| stream.try_read_buf(input))? {
+        Transfer::Bytes(0) => Ok(Some(ReadOutcome::Closed)),
+        Transfer::Bytes(_) => Ok(Some(ReadOutcome::Data)),
+        Transfer::WouldBlock => Ok(None),
+        Transfer::OutOfMemory => {
+            memory_backoff().await;
+            Ok(None)
+        }
+    }
+}
--- a/src/bin/delivery-gateway/resp2/connection_slots.rs
+++ b/src/bin/delivery-gateway/resp2/connection_slots.rs
@@ -37,9 +37,9 @@
     PartialRequest,
     /// A request is being served.
     Serving,
-    /// The client gets an error reply, and what it still sends is discarded.
+    /// The request has been refused, and its rest is skipped, or nothing more is served after malformed bytes.
     Refused,
-    /// The connection has been notified to close.
+    /// The connection is asked to close, which it does unless more of a request has arrived.
     Evicted,
 }
 
@@ -225,9 +225,16 @@
         &self.slots
     }
 
-    /// Returns the signal that is notified when the connection is evicted.
-    pub fn eviction(&self) -> Rc<Notify> {
-        self.evict.clone()
+    /// Waits until the connection is to be evicted. An eviction lapses when the connection enters another state.
+    pub async fn evicted(&self) {
+        while !self.is_evicted() {
+            self.evict.notified().await;
+        }
+    }
+
+    fn is_evicted(&self) -> bool {
+        let table = self.slots.table.borrow();
+        table.occupied.get(&self.number).is_some_and(|slot| slot.state == ConnectionState::Evicted)
     }
 
     /// Records the new state of the connection, and since when it has it.
