Reject the unread requests of a client that has closed its side

What operators reported: a client closed its connection with much still unread, and its requests were sent on afterwards.

Cause: client_has_closed (resp2/connection/reading.rs) took a client of which more bytes were buffered for one that still waits. Of several requests behind a close the first were accepted and delivered; the reply of one failed, it was withdrawn with its call out, and ran again.

Change: the runtime's readiness says that the client has closed its side before the bytes in front of that are read; each message is then rejected. A new connection is read before the runtime knows its readiness, so that its first request waits for one turn of it.

--- a/src/bin/delivery-gateway/resp2/connection/mod.rs
+++ b/src/bin/delivery-gateway/resp2/connection/mod.rs
@@ -213,6 +213,7 @@
             match self.read(deadline).await? {
                 ReadOutcome::Data if was_between_requests => {
                     deadline = self.await_rest_of_request();
+                    self.await_first_readiness().await;
                 }
                 ReadOutcome::Data | ReadOutcome::PhaseChanged => {}
                 ReadOutcome::Closed => return Ok(ServiceEnd::Closed),
@@ -232,6 +233,14 @@
         decode_request(&mut self.input)
     }
 
+    /// Lets the runtime learn the readiness of a new connection. It reads from one before that, and may not know yet that
+    /// the client has closed its side.
+    async fn await_first_readiness(&self) {
+        if self.answered == 0 {
+            yield_now().await;
+        }
+    }
+
     /// Frees the memory of a long request, and keeps the bytes that follow it.
     fn free_request_memory(&mut self) {
         self.input = BytesMut::from(self.input.as_ref());
--- a/src/bin/delivery-gateway/resp2/connection/reading.rs
+++ b/src/bin/delivery-gateway/resp2/connection/reading.rs
@@ -3,8 +3,12 @@
 use bytes::BytesMut;
 use delivery_gateway::socket::{memory_backoff, try_transfer, Transfer};
 use socket2::SockRef;
+use std::future::Future;
 use std::io::{self, Read};
+use std::pin::pin;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, Instant};
 use tracing::debug;
@@ -155,6 +159,9 @@
     /// may still be unread.
     pub(super) fn client_has_closed(&mut self) -> bool {
         let ClientConnection { stream, input, .. } = self;
+        if is_known_closed(stream) {
+            return true;
+        }
         if !input.is_empty() {
             return false;
         }
@@ -165,6 +172,14 @@
     }
 }
 
+/// Returns whether the runtime has been notified that the client has closed its side, or that the connection is broken.
+/// The notification comes before the unread bytes have been read.
+fn is_known_closed(stream: &TcpStream) -> bool {
+    let readiness = pin!(stream.ready(Interest::READABLE));
+    let polled = readiness.poll(&mut Context::from_waker(Waker::noop()));
+    matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+}
+
 /// Waits for more bytes, and reads them.
 async fn read_ready(stream: &TcpStream, input: &mut BytesMut) -> io::Result<ReadOutcome> {
     loop {
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -4,11 +4,31 @@
 mod environment;
 
 use environment::*;
+use socket2::SockRef;
 use std::time::Duration;
 
+/// The start of a request whose rest does not follow, so that a client with buffered requests seems to go on.
+const PARTIAL_REQUEST: &[u8] = b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nh";
+/// The number of payments that a client sends at once before it leaves.
+const PAYMENTS: usize = 5;
 /// The maximum number of payments until one has its call out when its reply fails.
 const MAX_TRIES: usize = 10;
 
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Departure {
+    Close,
+    Reset,
+}
+
+impl Departure {
+    fn leave(self, client: Client) {
+        if matches!(self, Departure::Reset) {
+            SockRef::from(client.stream.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    }
+}
+
 /// A payment whose client has left without a reply, and its call, which is out.
 struct AbandonedPayment {
     id: String,
@@ -95,3 +115,78 @@
         environment.expect_nothing();
     }
 }
+
+/// Sends several payments at once and leaves, while the gateway is stopped, so that all bytes and the end of the
+/// connection are there when it reads.
+fn send_and_leave(gateway: &RunningGateway, departure: Departure) {
+    gateway.while_stopped(|| {
+        let mut client = gateway.client();
+        for number in 0..PAYMENTS {
+            client.send_enqueue(&format!("p{number}"), "0", "salary", 1, b"pay");
+        }
+        client.send(PARTIAL_REQUEST);
+        departure.leave(client);
+    });
+}
+
+/// Sends the payments of [`send_and_leave`] again, each until it is accepted, and delivers what the gateway sends, until
+/// it sends nothing more. Each payment must have been sent once.
+fn come_again(environment: &TestEnvironment, gateway: &RunningGateway, mut calls: Vec<Call>) {
+    for number in 0..PAYMENTS {
+        assert_eq!(gateway.client().enqueue(&format!("p{number}"), "0", "salary", 1, b"pay"), "+OK");
+    }
+    let mut sent: Vec<String> = Vec::new();
+    loop {
+        for call in calls.drain(..) {
+            sent.push(call.id.clone());
+            call.answer("200 OK", "");
+        }
+        match environment.event_within(Duration::from_millis(300)) {
+            Some(StubEvent::Call(call)) => calls.push(call),
+            Some(StubEvent::Notification(line)) => panic!("unexpected notification: {line}"),
+            None => break,
+        }
+    }
+    sent.sort();
+    let expected: Vec<String> = (0..PAYMENTS).map(|number| format!("p{number}")).collect();
+    assert_eq!(sent, expected);
+}
+
+/// Returns the calls that arrive before the gateway has been idle for a while.
+fn calls_until_idle(environment: &TestEnvironment) -> Vec<Call> {
+    let mut calls = Vec::new();
+    while let Some(event) = environment.event_within(Duration::from_millis(300)) {
+        match event {
+            StubEvent::Call(call) => calls.push(call),
+            StubEvent::Notification(line) => panic!("unexpected notification: {line}"),
+        }
+    }
+    calls
+}
+
+/// A client that left with its requests unread had them sent on afterwards, and each one whose reply could not be
+/// written ran again when the client came back.
+#[test]
+fn payments_of_a_client_that_left_run_once() {
+    for departure in [Departure::Close, Departure::Reset] {
+        let environment = TestEnvironment::with_long_deadlines(1, 3.0);
+        let gateway = environment.start();
+        send_and_leave(&gateway, departure);
+        let calls = calls_until_idle(&environment);
+        assert!(calls.is_empty(), "{} payments were sent after {departure:?}", calls.len());
+        come_again(&environment, &gateway, calls);
+    }
+}
+
+/// The same with a handover between the departure and the return.
+#[test]
+fn payments_of_a_client_that_left_run_once_over_an_upgrade() {
+    for departure in [Departure::Close, Departure::Reset] {
+        let environment = TestEnvironment::with_long_deadlines(1, 3.0);
+        let predecessor = environment.start();
+        send_and_leave(&predecessor, departure);
+        let calls = calls_until_idle(&environment);
+        let successor = environment.start();
+        come_again(&environment, &successor, calls);
+    }
+}
