--- a/src/bin/testbed/experiment.rs
+++ b/src/bin/testbed/experiment.rs
@@ -20,6 +20,9 @@
 
 /// The latency of a call at the target size, in seconds.
 const TARGET_LATENCY_S: f64 = 0.04;
+/// The time for which a gateway keeps the tombstone of a message at the target, in seconds: the longest deadline of a
+/// class.
+const TARGET_RETENTION_S: f64 = 28.0;
 
 /// Why an experiment is rejected. The text names a remedy where there is one. No process has been started.
 #[derive(Debug, Error)]
@@ -155,6 +158,7 @@
             }
             Kind::PendingSpread | Kind::PendingAtOne | Kind::Journal => self.backlog / self.gateways,
             Kind::CallsInFlight => self.events_per_s / self.gateways * TARGET_LATENCY_S,
+            Kind::Tombstones => self.events_per_s / self.gateways * TARGET_RETENTION_S,
             Kind::Watchers | Kind::WatchersReconnect => self.gateways,
         }
     }
@@ -194,6 +198,8 @@
     WatchersReconnect,
     /// Messages in the journal of a real gateway when it starts.
     Journal,
+    /// Tombstones of delivered messages in the journal of a real gateway when it starts.
+    Tombstones,
 }
 
 impl Kind {
@@ -206,13 +212,13 @@
             Kind::CallsInFlight => 4_000,
             Kind::Watchers | Kind::WatchersReconnect => 200_000,
             // A message in the real gateway, in its journal and in the stub's set of attempted messages.
-            Kind::Journal => 4_000,
+            Kind::Journal | Kind::Tombstones => 4_000,
         }
     }
 
     /// Returns whether the sweep starts real gateways.
     pub fn is_real(self) -> bool {
-        self == Kind::Journal
+        matches!(self, Kind::Journal | Kind::Tombstones)
     }
 }
 
--- a/src/bin/testbed/journal_sweep.rs
+++ b/src/bin/testbed/journal_sweep.rs
@@ -1,8 +1,12 @@
-//! The sweep of the journal. A real gateway accepts messages that it cannot deliver, is killed, and is started again on
-//! its journal. The sweep measures the time to its first `+PONG`, and how many of the messages it then attempts.
+//! The sweeps of the journal. A real gateway accepts messages, is killed, and is started again on its journal. The sweeps
+//! measure the time to its first `+PONG`, its memory and its journal.
+//!
+//! In the sweep of pending messages, the gateway cannot deliver them before the restarts, and the sweep also measures how
+//! many it then attempts. In the sweep of tombstones it delivers all, and its journal is compacted before the restarts.
 
 use std::collections::HashSet;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::thread;
@@ -43,6 +47,26 @@
 const DISK_BYTES_OF_MESSAGE: u64 = 2000;
 /// The disk space in addition to that of the messages, in MB.
 const SPARE_DISK_MB: f64 = 3.0;
+/// The disk space with which a journal is compacted, relative to the journal's size: the file is too large for it, and its
+/// compacted copy fits beside the file.
+const COMPACTING_DISK_RATIO: f64 = 1.5;
+
+/// What the journals of a sweep contain when the gateways start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JournalContents {
+    Pending,
+    Tombstones,
+}
+
+impl JournalContents {
+    /// Returns how endpoints respond to the calls before the restarts.
+    fn response(self) -> Response {
+        match self {
+            JournalContents::Pending => Response::RetryLater,
+            JournalContents::Tombstones => Response::Deliver,
+        }
+    }
+}
 
 /// A folder for a gateway's files. It is removed when dropped.
 struct Folder(PathBuf);
@@ -97,7 +121,7 @@
     }
 
     /// Writes the configuration of a gateway that listens on `listen`.
-    fn configure(&self, folder: &Folder, listen: SocketAddr, size: u64) -> Result<(), NotRun> {
+    fn configure(&self, folder: &Folder, listen: SocketAddr, size: u64, disk_mb: f64) -> Result<(), NotRun> {
         let entry = |number: u32| target(&format!("s-{number}"), self.endpoints, number, "SERVING", 1e6);
         let targets: Vec<_> = (1..=DESTINATIONS as u32).map(entry).collect();
         let configuration = Configuration {
@@ -106,7 +130,7 @@
             // No limit in practice: the sweep measures memory, and the bounds of the run limit it.
             memory_mb: 1 << 16,
             sockets: 1024,
-            disk_mb: (size * DISK_BYTES_OF_MESSAGE) as f64 / 1e6 + SPARE_DISK_MB,
+            disk_mb,
             targets: &targets,
             fleet_size: 1,
             classes: &[class(LATENCY_OBJECTIVE_S, "notice", "idempotency_key", 600_000, false)],
@@ -153,19 +177,33 @@
 }
 
 /// Measures the sweep. Returns a point for each size, with its figures or the reason why it was not run.
-pub fn sweep(sweep: &Sweep, gateway: &Path, bounds: &RunBounds) -> Vec<Point> {
+pub fn sweep(sweep: &Sweep, contents: JournalContents, gateway: &Path, bounds: &RunBounds) -> Vec<Point> {
     let stubs = Stubs::start();
-    let point = |size: u64| measure(stubs.as_ref().map_err(Clone::clone)?, gateway, size, bounds);
+    let point = |size: u64| measure(stubs.as_ref().map_err(Clone::clone)?, contents, gateway, size, bounds);
     sweep.sizes().map(|size| point(size).unwrap_or_else(|reason| Point::not_run(size, &reason))).collect()
 }
 
-fn measure(stubs: &Stubs, gateway: &Path, size: u64, bounds: &RunBounds) -> Result<Point, NotRun> {
+/// Returns the disk space for a journal that is not compacted before it has all messages, in MB.
+fn ample_disk_mb(size: u64) -> f64 {
+    (size * DISK_BYTES_OF_MESSAGE) as f64 / 1e6 + SPARE_DISK_MB
+}
+
+fn measure(
+    stubs: &Stubs,
+    contents: JournalContents,
+    gateway: &Path,
+    size: u64,
+    bounds: &RunBounds,
+) -> Result<Point, NotRun> {
     bounds.check()?;
     let folder = Folder::new(size)?;
-    let address = fill_journal(stubs, gateway, &folder, size, bounds)?;
+    let address = fill_journal(stubs, contents, gateway, &folder, size, bounds)?;
+    if contents == JournalContents::Tombstones {
+        compact_journal(stubs, gateway, &folder, address, size, bounds)?;
+    }
     let journal_bytes = folder.journal_bytes();
     // The restarted gateways listen on the same address, because clients connect to that address.
-    stubs.configure(&folder, address, size)?;
+    stubs.configure(&folder, address, size, ample_disk_mb(size))?;
     let mut ready_ms = Vec::new();
     let mut ready_cpu_ns = Vec::new();
     let mut peak_memory_kib = 0;
@@ -181,35 +219,67 @@
         peak_memory_kib = peak_memory_kib.max(ready.peak_memory_kib);
         last = Some(ready);
     }
+    let mut figures = Figures::from([
+        (Figure::ProcessBytes, (peak_memory_kib << 10) as f64),
+        (Figure::JournalBytes, journal_bytes as f64),
+    ]);
+    figures.extend(median(&mut ready_ms).map(|ready_ms| (Figure::ReadyMs, ready_ms)));
+    figures.extend(median(&mut ready_cpu_ns).map(|cpu_ns| (Figure::ReadyCpuNs, cpu_ns)));
+    if contents == JournalContents::Pending {
+        figures.extend(measure_attempts(stubs, size, bounds)?);
+    }
+    drop(last);
+    Ok(Point::ran(size, figures))
+}
+
+/// Delivers the messages that the last restarted gateway attempts, and measures how many these are and how long it takes.
+fn measure_attempts(stubs: &Stubs, size: u64, bounds: &RunBounds) -> Result<Figures, NotRun> {
     let begun_at = Instant::now();
     let attempted = stubs.respond(Response::Deliver, size as usize, ATTEMPTS_TIMEOUT, bounds)?;
     let took = begun_at.elapsed();
-    drop(last);
-    info!(size, journal_bytes, attempted, ?took, "messages attempted after the last restart");
-    let figures = [
-        (Figure::ReadyMs, median(&mut ready_ms)),
-        (Figure::ReadyCpuNs, median(&mut ready_cpu_ns)),
-        (Figure::ProcessBytes, Some((peak_memory_kib << 10) as f64)),
-        (Figure::JournalBytes, Some(journal_bytes as f64)),
-        (Figure::AttemptedRatio, Some(attempted as f64 / size as f64)),
-        (Figure::AllAttemptedMs, (attempted as u64 == size).then_some(took.as_secs_f64() * 1e3)),
-    ];
-    let figures = figures.into_iter().filter_map(|(figure, value)| Some((figure, value?)));
-    Ok(Point::ran(size, Figures::from_iter(figures)))
+    info!(size, attempted, ?took, "messages attempted after the last restart");
+    let mut figures = Figures::from([(Figure::AttemptedRatio, attempted as f64 / size as f64)]);
+    if attempted as u64 == size {
+        figures.insert(Figure::AllAttemptedMs, took.as_secs_f64() * 1e3);
+    }
+    Ok(figures)
+}
+
+/// Has a gateway compact the journal, by a disk that the file is too large for and one further message.
+fn compact_journal(
+    stubs: &Stubs,
+    gateway: &Path,
+    folder: &Folder,
+    address: SocketAddr,
+    size: u64,
+    bounds: &RunBounds,
+) -> Result<(), NotRun> {
+    let before = folder.journal_bytes();
+    stubs.configure(folder, address, size, before as f64 * COMPACTING_DISK_RATIO / 1e6)?;
+    let ready = restart(gateway, folder, address, bounds)?;
+    let last_message = size..size + 1;
+    enqueue_messages(stubs, Response::Deliver, address, last_message, bounds, &ready.process)?;
+    let after = folder.journal_bytes();
+    info!(size, before, after, "journal compacted");
+    if after >= before {
+        return Err(NotRun::Failed(format!("the journal of {before} bytes was not compacted")));
+    }
+    Ok(())
 }
 
 /// Starts a gateway, enqueues the messages, and kills the gateway. Returns the address on which it listened.
 fn fill_journal(
     stubs: &Stubs,
+    contents: JournalContents,
     gateway: &Path,
     folder: &Folder,
     size: u64,
     bounds: &RunBounds,
 ) -> Result<SocketAddr, NotRun> {
-    stubs.configure(folder, ([127, 0, 0, 1], 0).into(), size)?;
+    stubs.configure(folder, ([127, 0, 0, 1], 0).into(), size, ample_disk_mb(size))?;
     let process = start(gateway, folder)?;
     let address = listening_address(&process, bounds)?;
-    enqueue_messages(stubs, address, size, bounds, &process)?;
+    enqueue_messages(stubs, contents.response(), address, 0..size, bounds, &process)?;
     Ok(address)
 }
 
@@ -230,19 +300,21 @@
     Err(NotRun::Failed(format!("the gateway did not listen within {READY_TIMEOUT:?}")))
 }
 
-/// Enqueues the messages. Endpoints reject calls with a Retry-After, so that the messages stay pending.
+/// Enqueues the messages with these numbers. Endpoints deliver all, or reject calls with a Retry-After, so that the
+/// messages stay pending.
 fn enqueue_messages(
     stubs: &Stubs,
+    response: Response,
     address: SocketAddr,
-    size: u64,
+    numbers: Range<u64>,
     bounds: &RunBounds,
     process: &Process,
 ) -> Result<(), NotRun> {
     let failed = |error| NotRun::failed("cannot enqueue messages", error);
     let mut client = Client::connect(address, REPLY_TIMEOUT).map_err(failed)?;
-    let mut enqueued = 0;
-    while enqueued < size {
-        let count = PIPELINE.min(size - enqueued);
+    let mut enqueued = numbers.start;
+    while enqueued < numbers.end {
+        let count = PIPELINE.min(numbers.end - enqueued);
         let commands: Vec<u8> = (enqueued..enqueued + count).flat_map(enqueue_command).collect();
         client.try_send(&commands).map_err(failed)?;
         for _ in 0..count {
@@ -252,11 +324,25 @@
             }
         }
         enqueued += count;
-        stubs.respond(Response::RetryLater, DESTINATIONS as usize, CONNECT_INTERVAL, bounds)?;
+        match response {
+            Response::Deliver => deliver(stubs, count, bounds)?,
+            Response::RetryLater => {
+                stubs.respond(response, DESTINATIONS as usize, CONNECT_INTERVAL, bounds)?;
+            }
+        }
         check_with_process(bounds, process)?;
     }
-    // Also rejects calls that are still on their way, which arrive within a short time.
-    stubs.respond(Response::RetryLater, DESTINATIONS as usize, 4 * CHECK_INTERVAL, bounds)?;
+    // Also responds to calls that are still on their way, which arrive within a short time.
+    stubs.respond(response, DESTINATIONS as usize, 4 * CHECK_INTERVAL, bounds)?;
+    Ok(())
+}
+
+/// Delivers messages until this number of different ones has been attempted.
+fn deliver(stubs: &Stubs, count: u64, bounds: &RunBounds) -> Result<(), NotRun> {
+    let attempted = stubs.respond(Response::Deliver, count as usize, ATTEMPTS_TIMEOUT, bounds)?;
+    if (attempted as u64) < count {
+        return Err(NotRun::Failed(format!("only {attempted} of {count} messages were attempted")));
+    }
     Ok(())
 }
 
@@ -274,8 +360,8 @@
 
 /// A restarted gateway, and its figures at its first `+PONG`.
 struct ReadyGateway {
-    /// The process is killed when this is dropped.
-    _process: Process,
+    /// Killed when this is dropped.
+    process: Process,
     ready_ms: f64,
     cpu_ns: f64,
     peak_memory_kib: u64,
@@ -310,7 +396,7 @@
     let ready_ms = begun_at.elapsed().as_secs_f64() * 1e3;
     let cpu_ns = processor_time_ns(&process)?;
     let peak_memory_kib = process.status_value("VmHWM").unwrap_or(0);
-    Ok(ReadyGateway { _process: process, ready_ms, cpu_ns, peak_memory_kib })
+    Ok(ReadyGateway { process, ready_ms, cpu_ns, peak_memory_kib })
 }
 
 /// Returns the processor time that a process has used so far, in nanoseconds.
--- a/src/bin/testbed/layout.rs
+++ b/src/bin/testbed/layout.rs
@@ -49,7 +49,7 @@
             }
             Kind::PendingAtOne => Layout::separate(1, 0, AMPLE_RATE_PER_SEC),
             Kind::CallsInFlight => Layout::separate(ACTIVE_DESTINATIONS_OF_MANY_CALLS, 0, AMPLE_RATE_PER_SEC),
-            Kind::Watchers | Kind::WatchersReconnect | Kind::Journal => {
+            Kind::Watchers | Kind::WatchersReconnect | Kind::Journal | Kind::Tombstones => {
                 Err(NotRun::Failed(format!("{kind} is no sweep of the scheduler")))
             }
         }
--- a/src/bin/testbed/main.rs
+++ b/src/bin/testbed/main.rs
@@ -51,6 +51,7 @@
 
 use crate::bounds::RunBounds;
 use crate::experiment::{ExperimentError, Kind};
+use crate::journal_sweep::JournalContents;
 use crate::report::Report;
 
 /// The exit code of a run that a signal ended.
@@ -161,7 +162,8 @@
         Report::new(experiment.seed, experiment.bounds.memory_bytes(), experiment.target.clone());
     for sweep in &experiment.sweep {
         let points = match sweep.kind() {
-            Kind::Journal => journal_sweep::sweep(sweep, &gateway, &bounds),
+            Kind::Journal => journal_sweep::sweep(sweep, JournalContents::Pending, &gateway, &bounds),
+            Kind::Tombstones => journal_sweep::sweep(sweep, JournalContents::Tombstones, &gateway, &bounds),
             Kind::Watchers | Kind::WatchersReconnect => watch_sweep::sweep(&experiment, sweep, &bounds),
             _ => scheduler_sweep::sweep(&experiment, sweep, &bounds),
         };
