--- a/src/bin/testbed/journal_sweep.rs
+++ b/src/bin/testbed/journal_sweep.rs
@@ -50,7 +50,7 @@
 const SPARE_DISK_MB: f64 = 3.0;
 /// The disk space with which a journal is compacted, relative to the journal's size: the file is too large for it, and its
 /// compacted copy fits beside the file.
-const COMPACTING_DISK_RATIO: f64 = 1.5;
+const COMPACTING_DISK_RATIO: f64 = 1.75;
 
 /// What the journals of a sweep contain when the gateways start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
