Acknowledge responses at once, so that bytes held back behind them do not answer the next call

Five bytes behind a response, while nothing waited, became the response of the next call on the connection: a payment failed that had not been answered.

Cause: a trace shows MSG_PEEK with EAGAIN, the call's writev, and 0.1 ms later a read of the noise. The endpoint's system holds small writes back until the response is acknowledged, and ours put the acknowledgement off until the next call. The pause of 5 ms (pool.rs) and the check before the first byte (wire.rs) cannot see what has not been sent. Ruled out: bytes in the same read, and bytes that the runtime has not reported; both were handled.

Connections to discovery's agent acknowledge too, and send no request behind unread bytes.

--- a/src/bin/delivery-gateway/http_client/call.rs
+++ b/src/bin/delivery-gateway/http_client/call.rs
@@ -310,10 +310,14 @@
     if response.body().size_hint().lower() > MAX_RESPONSE_BODY_BYTES {
         return None;
     }
-    let has_ambiguous_length = Headers::of(&response).has_ambiguous_length();
+    let headers = Headers::of(&response);
+    let has_ambiguous_length = headers.has_ambiguous_length();
+    let is_kept_alive = headers.keep_connection_alive();
     let body = Limited::new(response.into_body(), MAX_RESPONSE_BODY_BYTES as usize).collect();
     let body = timeout(BODY_TIMEOUT, body).await.ok()?.ok()?.to_bytes();
-    if !has_ambiguous_length {
+    connection.wire.end_call();
+    connection.wire.acknowledge();
+    if !has_ambiguous_length && is_kept_alive {
         tokio::task::spawn_local(return_connection(pool, endpoint, connection));
     }
     Some(body)
@@ -322,10 +326,12 @@
 /// Returns a connection to the pool once its response has been read completely. It is closed if other bytes follow.
 async fn return_connection(pool: Rc<Pool>, endpoint: EndpointId, mut connection: Connection) {
     // If other bytes followed, the connection's own task has closed it before it is ready again.
-    if let Ok(Ok(())) = timeout(BODY_TIMEOUT, connection.ready()).await {
-        yield_now().await;
-        if connection.wire.is_open_without_unread_bytes() {
-            pool.put_back(endpoint, connection);
-        }
+    let is_ready = matches!(timeout(BODY_TIMEOUT, connection.ready()).await, Ok(Ok(())));
+    yield_now().await;
+    let is_open = connection.wire.is_open_without_unread_bytes();
+    match (is_ready, is_open) {
+        (true, true) => pool.put_back(endpoint, connection),
+        (false, true) => connection.wire.record_surplus(),
+        (_, false) => {}
     }
 }
--- a/src/bin/delivery-gateway/http_client/connection.rs
+++ b/src/bin/delivery-gateway/http_client/connection.rs
@@ -15,6 +15,7 @@
 use tokio::time::{timeout, Instant};
 
 use super::descriptors::Descriptor;
+use super::surplus::SurplusBytes;
 use super::wire::{Wire, WireStream};
 
 /// The time that the endpoint has to close an aborted connection before it is dropped.
@@ -40,6 +41,8 @@
     pub wire: Rc<Wire>,
     /// Signals the connection's own task to close it, and to send on the enclosed channel when that is done.
     abort: oneshot::Sender<oneshot::Sender<()>>,
+    /// How long the endpoint took to accept the connection.
+    pub connect_time: Duration,
     /// When the last call ended; when the connection was opened if it has carried none.
     pub idle_since: Instant,
     /// When the last call began; when the connection was opened if it has carried none.
@@ -51,9 +54,15 @@
     ///
     /// # Errors
     /// The endpoint refuses the connection or cannot be reached, or this machine cannot open one at the moment.
-    pub async fn open(address: SocketAddr, descriptor: Descriptor) -> io::Result<Self> {
+    pub async fn open(
+        address: SocketAddr,
+        descriptor: Descriptor,
+        surplus: Rc<SurplusBytes>,
+    ) -> io::Result<Self> {
+        let connect_began = Instant::now();
         let stream = socket::connect(address).await?;
-        let wire = Rc::new(Wire::new(stream, descriptor));
+        let connect_time = connect_began.elapsed();
+        let wire = Rc::new(Wire::new(stream, descriptor, surplus));
         let io = TokioIo::new(WireStream(wire.clone()));
         let mut builder = http1::Builder::new();
         builder.title_case_headers(true).max_buf_size(MAX_HEAD_BYTES);
@@ -61,7 +70,7 @@
         let (abort, aborted) = oneshot::channel();
         tokio::task::spawn_local(drive(driver, aborted));
         let now = Instant::now();
-        Ok(Connection { address, sender, wire, abort, idle_since: now, call_began: now })
+        Ok(Connection { address, sender, wire, abort, connect_time, idle_since: now, call_began: now })
     }
 
     /// Returns whether the connection is closed and can carry no further call.
--- a/src/bin/delivery-gateway/http_client/mod.rs
+++ b/src/bin/delivery-gateway/http_client/mod.rs
@@ -7,6 +7,7 @@
 //! - [`connection`] opens and aborts a connection.
 //! - [`wire`] observes the bytes on a connection below the HTTP library, and [`status_line`] parses the status line
 //!   from them.
+//! - [`surplus`] decides for how long a connection rests between two calls.
 //! - [`descriptors`] limits the file descriptors in use.
 //!
 //! The scheduler decides whether and when a message is sent or retried. The one exception is a call of which no byte
@@ -21,6 +22,7 @@
 mod request;
 mod response;
 mod status_line;
+mod surplus;
 #[cfg(test)]
 mod tests;
 mod wire;
--- a/src/bin/delivery-gateway/http_client/pool.rs
+++ b/src/bin/delivery-gateway/http_client/pool.rs
@@ -5,20 +5,19 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep_until, timeout_at, Instant};
 use tracing::info;
 
 use super::connection::{Connection, ConnectionOrigin};
 use super::descriptors::{Descriptor, Descriptors};
+use super::surplus::{SurplusBytes, MAX_REST_WAIT};
 use crate::rate_limited_log::RateLimitedLog;
 
 /// The ratio of an endpoint's own idle timeout after which an idle connection is closed here, so that no call is sent
 /// on a connection that the endpoint is closing.
 const IDLE_LIMIT_RATIO: f64 = 0.7;
-/// The time that a connection must be idle before it is reused, so that bytes right after a response are detected
-/// before they could be taken for the next response. Opening a new connection would take longer.
-const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(5);
 
 /// Counts calls by their connections since the last report. A call that is sent again because its connection was stale
 /// counts once for each connection.
@@ -56,6 +55,7 @@
     max_idle_time: Duration,
     /// The maximum number of idle connections. 0 while another process makes the calls.
     max_idle: Cell<usize>,
+    surplus: Rc<SurplusBytes>,
     counters: RefCell<ConnectionCounters>,
     reset_log: RefCell<RateLimitedLog>,
     too_late_log: RefCell<RateLimitedLog>,
@@ -78,6 +78,7 @@
             connect_timeout,
             max_idle_time: connection_idle_timeout.mul_f64(IDLE_LIMIT_RATIO),
             max_idle: Cell::new(max_idle),
+            surplus: Rc::default(),
             counters: RefCell::default(),
             reset_log: RefCell::default(),
             too_late_log: RefCell::default(),
@@ -148,30 +149,31 @@
         Ok(AcquiredConnection { connection, origin: ConnectionOrigin::New })
     }
 
-    /// Takes the idle connection that was used last among those that have been idle for [`MIN_IDLE_BEFORE_REUSE`], and
-    /// waits until there is one. Returns None if there is no usable idle connection to this address.
+    /// Takes the idle connection that was used last among those that have [rested](SurplusBytes::rest), and waits for up to
+    /// [`MAX_REST_WAIT`] until there is one. Returns None if there is no usable idle connection to this address by then.
     async fn take_idle(&self, endpoint: EndpointId, address: SocketAddr) -> Option<Connection> {
         loop {
-            let reusable_at = {
+            let rested_at = {
                 let mut idle = self.idle.borrow_mut();
                 let connections = idle.get_mut(&endpoint)?;
                 connections.retain(|connection| connection.address == address && self.is_usable(connection));
-                let oldest_idle_since = connections.first()?.idle_since;
-                let is_reusable =
-                    |connection: &Connection| connection.idle_since.elapsed() >= MIN_IDLE_BEFORE_REUSE;
-                if let Some(newest_reusable) = connections.iter().rposition(is_reusable) {
-                    return Some(connections.remove(newest_reusable));
+                let rested_at = |connection: &Connection| {
+                    connection.idle_since + self.surplus.rest(connection.connect_time)
+                };
+                let now = Instant::now();
+                if let Some(newest_rested) = connections.iter().rposition(|each| rested_at(each) <= now) {
+                    return Some(connections.remove(newest_rested));
                 }
-                oldest_idle_since + MIN_IDLE_BEFORE_REUSE
+                connections.iter().map(rested_at).min().filter(|at| *at <= now + MAX_REST_WAIT)?
             };
-            sleep_until(reusable_at).await;
+            sleep_until(rested_at).await;
         }
     }
 
     async fn open(&self, address: SocketAddr, connect_by: Instant) -> Result<Connection, AttemptOutcome> {
         let descriptor =
             timeout_at(connect_by, self.descriptor()).await.map_err(|_| AttemptOutcome::LocalFailure)?;
-        match timeout_at(connect_by, Connection::open(address, descriptor)).await {
+        match timeout_at(connect_by, Connection::open(address, descriptor, self.surplus.clone())).await {
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(error)) if socket::is_local_failure(&error) => Err(AttemptOutcome::LocalFailure),
             // Refused, unreachable or timed out: nothing was sent.
--- a/src/bin/delivery-gateway/http_client/response.rs
+++ b/src/bin/delivery-gateway/http_client/response.rs
@@ -5,7 +5,7 @@
 
 use delivery_gateway::{AttemptOutcome, LoadReport};
 use hyper::body::Incoming;
-use hyper::Response;
+use hyper::{Response, Version};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -74,6 +74,11 @@
         self.get(header::NOT_STARTED).is_some_and(|text| text.trim() == "1")
     }
 
+    /// Returns whether the endpoint keeps the connection open after the response.
+    pub fn keep_connection_alive(self) -> bool {
+        self.0.version() == Version::HTTP_11 && !self.closes_connection()
+    }
+
     fn closes_connection(self) -> bool {
         self.get(header::CONNECTION).is_some_and(|text| text.trim().eq_ignore_ascii_case("close"))
     }
--- a/src/bin/delivery-gateway/http_client/wire.rs
+++ b/src/bin/delivery-gateway/http_client/wire.rs
@@ -5,7 +5,6 @@
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -18,6 +17,7 @@
 
 use super::descriptors::Descriptor;
 use super::status_line::StatusLineReader;
+use super::surplus::SurplusBytes;
 
 /// A connection's socket and what was observed on it. It is shared by the owner of the connection and, as a
 /// [`WireStream`], by the HTTP library.
@@ -31,13 +31,16 @@
     /// When the status of the response was read.
     status_read_at: Cell<Option<Instant>>,
     response_begun: Notify,
+    /// Whether the last response has been read completely, and no call has begun since.
+    is_idle: Cell<bool>,
+    surplus: Rc<SurplusBytes>,
     /// Declared after the stream, so that the file descriptor is closed before it counts as free.
     _descriptor: Descriptor,
 }
 
 impl Wire {
     /// Wraps a connection on which no call has begun.
-    pub fn new(stream: TcpStream, descriptor: Descriptor) -> Self {
+    pub fn new(stream: TcpStream, descriptor: Descriptor, surplus: Rc<SurplusBytes>) -> Self {
         Wire {
             stream,
             written_bytes: Cell::default(),
@@ -45,6 +48,8 @@
             status_line: RefCell::default(),
             status_read_at: Cell::default(),
             response_begun: Notify::new(),
+            is_idle: Cell::default(),
+            surplus,
             _descriptor: descriptor,
         }
     }
@@ -55,6 +60,22 @@
         self.read_bytes.set(0);
         self.status_line.take();
         self.status_read_at.take();
+        self.is_idle.set(false);
+    }
+
+    /// Records that the last response has been read completely.
+    pub fn end_call(&self) {
+        self.is_idle.set(true);
+    }
+
+    /// Acknowledges the response now, so that the endpoint's system sends what it has held back until then.
+    pub fn acknowledge(&self) {
+        socket::acknowledge(&self.stream);
+    }
+
+    /// Records that the endpoint has sent bytes that belong to no call.
+    pub fn record_surplus(&self) {
+        self.surplus.record();
     }
 
     /// Returns whether no byte of the current call was written.
@@ -73,11 +94,16 @@
             && self.status_read_at.get().is_some_and(|read_at| read_at < deadline)
     }
 
-    /// Returns whether the connection is open and holds no unread bytes.
+    /// Returns whether the connection is open and holds no unread bytes, between two calls.
     pub fn is_open_without_unread_bytes(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket::retry_interrupted(|| SockRef::from(&self.stream).peek(&mut byte));
-        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        match socket::peek(&self.stream) {
+            Ok(Transfer::WouldBlock) => true,
+            Ok(Transfer::Bytes(1..)) => {
+                self.surplus.record();
+                false
+            }
+            Ok(Transfer::Bytes(0) | Transfer::OutOfMemory) | Err(_) => false,
+        }
     }
 
     /// Waits for the first byte of the response, and then for `limit`.
@@ -104,6 +130,9 @@
 
     /// Records bytes that have been read. Fails on too many interim responses.
     fn record_read(&self, bytes: &[u8]) -> io::Result<()> {
+        if self.is_idle.get() && !bytes.is_empty() {
+            self.surplus.record();
+        }
         let mut status_line = self.status_line.borrow_mut();
         let was_unknown = status_line.status().is_none();
         status_line.feed(bytes)?;
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::error::DiscoveryError;
-use crate::socket::{self, RetryingStream};
+use crate::socket::{self, RequestStream};
 
 /// The time limit for connecting to the agent, and for its response to a short request. The agent runs on this machine.
 pub const AGENT_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -31,7 +31,7 @@
 /// the connection or its HTTP handshake fails before that.
 pub async fn connect(agent: &str) -> Result<Connection, DiscoveryError> {
     let stream = timeout(AGENT_RESPONSE_TIMEOUT, connect_by_name(agent)).await??;
-    let (sender, connection) = http1::handshake(TokioIo::new(RetryingStream(stream))).await?;
+    let (sender, connection) = http1::handshake(TokioIo::new(RequestStream::new(stream))).await?;
     tokio::spawn(connection);
     Ok(sender)
 }
--- a/src/socket/mod.rs
+++ b/src/socket/mod.rs
@@ -17,8 +17,8 @@
 
 pub use errors::{is_local_failure, is_transient, AsIoError};
 pub use retry::{retry_interrupted, retry_transient, retry_transient_blocking};
-pub use stream::{connect, disable_nagle, RetryingStream};
-pub use transfer::{memory_backoff, poll_read, poll_write, try_transfer, write_all, Transfer};
+pub use stream::{acknowledge, connect, disable_nagle, RequestStream, RetryingStream};
+pub use transfer::{memory_backoff, peek, poll_read, poll_write, try_transfer, write_all, Transfer};
 
 use std::time::Duration;
 
--- a/src/socket/stream.rs
+++ b/src/socket/stream.rs
@@ -11,7 +11,7 @@
 use tracing::debug;
 
 use super::errors::is_transient;
-use super::transfer::{poll_read, poll_write};
+use super::transfer::{peek, poll_read, poll_write, Transfer};
 use super::RETRY_DELAY;
 
 /// The time limit for retries of transient errors of a connect, after which it fails.
@@ -45,6 +45,13 @@
     }
 }
 
+/// Acknowledges what has been read now rather than with the next bytes that are sent. A peer whose system holds small
+/// writes back until then (Nagle's algorithm) would otherwise seem to send them in response to those bytes. A failure is
+/// ignored, since the connection works without it.
+pub fn acknowledge(stream: &TcpStream) {
+    let _ = rustix::net::sockopt::set_tcp_quickack(stream, true);
+}
+
 /// A connection for libraries that do their own reading and writing. It hides interruptions and short transfers from
 /// them.
 #[derive(Debug)]
@@ -83,3 +90,72 @@
         Pin::new(&mut self.0).poll_shutdown(cx)
     }
 }
+
+/// A connection on which requests are sent one at a time, each after the response to the one before it. A request is not
+/// sent behind unread bytes: they belong to no request, and would be taken for its response.
+#[derive(Debug)]
+pub struct RequestStream {
+    stream: RetryingStream,
+    /// Whether the next write begins a request.
+    is_between_requests: bool,
+}
+
+impl RequestStream {
+    /// Wraps a connection on which nothing has been sent.
+    pub fn new(stream: TcpStream) -> Self {
+        RequestStream { stream: RetryingStream(stream), is_between_requests: true }
+    }
+
+    fn check_unread_bytes(&mut self) -> io::Result<()> {
+        if std::mem::replace(&mut self.is_between_requests, false)
+            && matches!(peek(&self.stream.0), Ok(Transfer::Bytes(_)))
+        {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the peer closed the connection or sent bytes between requests",
+            ));
+        }
+        Ok(())
+    }
+}
+
+impl AsyncRead for RequestStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        acknowledge(&self.stream.0);
+        self.is_between_requests = true;
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for RequestStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.check_unread_bytes()?;
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check_unread_bytes()?;
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/socket/transfer.rs
+++ b/src/socket/transfer.rs
@@ -1,7 +1,9 @@
 //! Reads and writes that handle interruptions, short transfers and a shortage of memory.
 
 use rustix::io::Errno;
+use socket2::SockRef;
 use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::task::{ready, Context, Poll};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -39,6 +41,15 @@
     raw == Some(Errno::NOMEM.raw_os_error()) || raw == Some(Errno::NOBUFS.raw_os_error())
 }
 
+/// Looks for an unread byte without waiting for one, and leaves it there.
+///
+/// # Errors
+/// The connection is broken.
+pub fn peek(stream: &TcpStream) -> io::Result<Transfer> {
+    let mut byte = [MaybeUninit::uninit()];
+    try_transfer(|| SockRef::from(stream).peek(&mut byte))
+}
+
 /// Waits until a read or write that was [out of memory](Transfer::OutOfMemory) may be retried.
 pub async fn memory_backoff() {
     sleep(RETRY_DELAY).await;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -5,6 +5,7 @@
 
 use environment::*;
 use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 const EMPTY_OK_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
@@ -136,6 +137,92 @@
     environment.expect_nothing();
 }
 
+/// Bytes that arrive a little later, while nothing waits on the connection, must not answer the next call. The system of
+/// an endpoint holds small writes back until the response is acknowledged, which the gateway's system would only do with
+/// the next call: on a connection that has carried several calls, the bytes would always follow it.
+#[test]
+fn bytes_on_an_idle_connection_answer_no_call() {
+    for surplus in [EMPTY_OK_RESPONSE, b"noise", b"\r\n", b"HTTP/1.1 2"] {
+        let environment = TestEnvironment::new(1, 3.0);
+        let gateway = environment.start();
+        let mut client = gateway.client();
+        let (connection, mut stream) = deliver_on_reused_connection(&environment, &mut client);
+        stream.write_all(surplus).unwrap();
+        assert_eq!(client.enqueue("next", "0", "salary", 1, b"x"), "+OK");
+        let call = environment.call();
+        // On the same connection, the bytes would be its response.
+        assert_ne!(call.gateway_address(), connection);
+        call.answer("200 OK", "");
+        environment.expect_nothing();
+    }
+}
+
+/// Delivers messages until one of them has been sent on the connection of the one before it. Returns the same as
+/// [`deliver`] for that connection.
+fn deliver_on_reused_connection(
+    environment: &TestEnvironment,
+    client: &mut Client,
+) -> (SocketAddr, TcpStream) {
+    let mut previous = deliver(environment, client, "d0").0;
+    for number in 1..100 {
+        let delivered_at = Instant::now();
+        while delivered_at.elapsed() < Duration::from_millis(20) {
+            assert_eq!(client.request(&["PING"]), "+PONG");
+        }
+        let (connection, stream) = deliver(environment, client, &format!("d{number}"));
+        if connection == previous {
+            // Gives the connection the time to become idle.
+            assert_eq!(client.request(&["PING"]), "+PONG");
+            return (connection, stream);
+        }
+        previous = connection;
+    }
+    panic!("no connection was reused");
+}
+
+/// Delivers a message. Returns the gateway's address and the endpoint's side of the connection. What is written there
+/// follows the response.
+fn deliver(environment: &TestEnvironment, client: &mut Client, id: &str) -> (SocketAddr, TcpStream) {
+    assert_eq!(client.enqueue(id, "0", "salary", 1, b"x"), "+OK");
+    let call = environment.call();
+    assert_eq!(call.id, id);
+    let (gateway_address, mut stream) = (call.gateway_address(), call.stream());
+    stream.write_all(EMPTY_OK_RESPONSE).unwrap();
+    // Has the stub go on to the next request.
+    call.answer_raw(b"");
+    (gateway_address, stream)
+}
+
+/// Bytes that are on their way when the next call is sent would be taken for its response. While endpoints are known to
+/// send more than belongs to a response, a connection rests for 100 ms before it is reused, and a call that cannot wait
+/// for that opens another one.
+#[test]
+fn connections_rest_for_longer_after_surplus_bytes() {
+    const REST: Duration = Duration::from_millis(100);
+    let environment = TestEnvironment::new(1, 3.0);
+    let gateway = environment.start();
+    let mut client = gateway.client();
+    let (mut connection, mut stream) = deliver(&environment, &mut client, "first");
+    stream.write_all(EMPTY_OK_RESPONSE).unwrap();
+    // The gateway notices the bytes at the latest when it would reuse the connection.
+    for number in 0..2 {
+        let (next, _) = deliver(&environment, &mut client, &format!("next{number}"));
+        assert_ne!(next, connection);
+        connection = next;
+    }
+    for number in 0..20 {
+        let (connection, _) = deliver(&environment, &mut client, &format!("a{number}"));
+        let answered_at = Instant::now();
+        // Gives a rest of 5 ms the time to pass.
+        while answered_at.elapsed() < REST / 10 {
+            assert_eq!(client.request(&["PING"]), "+PONG");
+        }
+        let (next, _) = deliver(&environment, &mut client, &format!("b{number}"));
+        let rested = answered_at.elapsed();
+        assert!(next != connection || rested >= REST, "reused after {rested:?}");
+    }
+}
+
 /// Bytes that arrive shortly after a response could not be told from the next response if the next call had already
 /// been sent. A connection pauses for 5 ms after a response before it is reused.
 #[test]
