--- a/tests/environment/mod.rs
+++ b/tests/environment/mod.rs
@@ -23,10 +23,10 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
 use std::time::{Duration, Instant};
-use stubs::{address_in, class, encode_command, locked, serve, serve_calls, target, Configuration, Process};
+use stubs::{address_in, class, locked, serve, serve_calls, target, Configuration, Process};
 
 pub use fault_page::{Call as SystemCall, Fault, FaultPage};
-pub use stubs::{Agent, Call, Client, StubEvent};
+pub use stubs::{encode_command, Agent, Call, Client, StubEvent};
 
 /// The environment variable with the seed of faults. If it holds a number, gateways run with `TRANSIENT_FAULTS`, except
 /// in tests that set faults of their own.
@@ -698,6 +698,16 @@
         self.signal("CONT");
     }
 
+    /// Returns the id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.process.child.id()
+    }
+
+    /// Returns the address on which clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the number of open descriptors of the process.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.process.child.id())).unwrap().count()
