Hold no more of a half-sent request in memory than its bytes

With 32 MB and 850 clients within a request, the peak grew by 16 to 21 MB.

Cause: a buffer of 4 KiB in an async function, read_now, was part of each connection's task (4.9 KB in place of 1.5 KB); buffers grew step by step and so to twice the bytes read (reading.rs, reserve of READ_BYTES), 128 KiB for a long request; the buffer stayed beside the copy of the body until the reply. Ruled out: many short fields or elements, which cost no more than their bytes.

Change: the passing buffer is on the stack of a plain function; a buffer has 4 KiB in all before its request has a permit, and then the size of the longest request; it is freed before the reply.

--- a/src/bin/delivery-gateway/resp2/codec.rs
+++ b/src/bin/delivery-gateway/resp2/codec.rs
@@ -16,6 +16,9 @@
 pub const MAX_BYTES_BESIDE_BODY: usize = 4 << 10;
 /// The maximum length of a line that holds a count or a length.
 const MAX_LENGTH_LINE_BYTES: usize = 32;
+/// The maximum number of bytes in a request.
+pub const MAX_REQUEST_BYTES: usize =
+    MAX_MESSAGE_BODY_BYTES + MAX_BYTES_BESIDE_BODY + MAX_LENGTH_LINE_BYTES + LINE_END.len();
 const LINE_END: &[u8; 2] = b"\r\n";
 
 /// Why bytes cannot be decoded as a request. The start of the next request is then unknown, so the connection has to
--- a/src/bin/delivery-gateway/resp2/connection/mod.rs
+++ b/src/bin/delivery-gateway/resp2/connection/mod.rs
@@ -31,7 +31,7 @@
 use super::connection_slots::{ConnectionSlot, ConnectionSlots, ConnectionState};
 use crate::events::{EnqueueReply, EnqueueRequest, GatewayEvent, ServicePhase};
 
-/// The maximum size of one read. A longer request waits for a permit for long requests.
+/// The number of bytes of a request that are read at once. A longer request waits for a permit for long requests.
 const READ_BYTES: usize = 4 << 10;
 /// The time limit for the rest of a request: from its first bytes, or from the previous reply if these had arrived
 /// before it. Clients wait 400 ms for a reply.
@@ -182,7 +182,7 @@
             }
             match self.next_request() {
                 Ok(Some(elements)) => {
-                    if self.serve(&elements).await? == ServeOutcome::GatewayEnded {
+                    if self.serve(elements).await? == ServeOutcome::GatewayEnded {
                         return Ok(ServiceEnd::Closed);
                     }
                     if long_request.is_some() && self.input.len() < READ_BYTES {
@@ -241,6 +241,13 @@
         }
     }
 
+    /// Frees the memory of a long request that has been decoded, before its reply is waited for.
+    fn free_long_buffer(&mut self) {
+        if self.input.capacity() > READ_BYTES {
+            self.free_request_memory();
+        }
+    }
+
     /// Frees the memory of a long request, and keeps the bytes that follow it.
     fn free_request_memory(&mut self) {
         self.input = BytesMut::from(self.input.as_ref());
@@ -297,7 +304,7 @@
     }
 
     /// Answers one request, and yields to other connections after every [`REQUESTS_PER_TURN`] requests.
-    async fn serve(&mut self, elements: &[Bytes]) -> io::Result<ServeOutcome> {
+    async fn serve(&mut self, elements: Vec<Bytes>) -> io::Result<ServeOutcome> {
         self.slot.set_state(ConnectionState::Serving);
         if self.answer(elements).await? == ServeOutcome::GatewayEnded {
             return Ok(ServeOutcome::GatewayEnded);
@@ -309,12 +316,14 @@
         Ok(ServeOutcome::Answered)
     }
 
-    async fn answer(&mut self, elements: &[Bytes]) -> io::Result<ServeOutcome> {
+    async fn answer(&mut self, elements: Vec<Bytes>) -> io::Result<ServeOutcome> {
         let command = elements.first().map(|element| element.to_ascii_uppercase());
         let reply = match command.as_deref() {
             Some(b"PING") => self.ping(),
-            Some(b"ENQUEUE") => match EnqueueRequest::try_from(elements) {
+            Some(b"ENQUEUE") => match EnqueueRequest::try_from(elements.as_slice()) {
                 Ok(mut request) => {
+                    drop(elements);
+                    self.free_long_buffer();
                     let unread_for = std::mem::take(&mut self.unread_for);
                     request.time_left = request.time_left.saturating_sub(unread_for);
                     if !self.client_has_closed() {
--- a/src/bin/delivery-gateway/resp2/connection/reading.rs
+++ b/src/bin/delivery-gateway/resp2/connection/reading.rs
@@ -16,6 +16,7 @@
 use super::refusal::Refusal;
 use super::{ClientConnection, ReadOutcome, READ_BYTES};
 use crate::events::ServicePhase;
+use crate::resp2::codec::MAX_REQUEST_BYTES;
 use crate::resp2::connection_slots::ConnectionState;
 
 /// The time limit for the first bytes on a new connection while the process shuts down or is a lame duck.
@@ -142,13 +143,9 @@
     /// is closed.
     pub(super) async fn read_now(&mut self) -> io::Result<ReadOutcome> {
         loop {
-            let mut bytes = [0; READ_BYTES];
-            match try_transfer(|| (&*SockRef::from(&self.stream)).read(&mut bytes))? {
+            match read_directly(&self.stream, &mut self.input)? {
                 Transfer::WouldBlock | Transfer::Bytes(0) => return Ok(ReadOutcome::Closed),
-                Transfer::Bytes(count) => {
-                    self.input.extend_from_slice(&bytes[..count]);
-                    return Ok(ReadOutcome::Data);
-                }
+                Transfer::Bytes(_) => return Ok(ReadOutcome::Data),
                 Transfer::OutOfMemory => memory_backoff().await,
             }
         }
@@ -193,7 +190,7 @@
 /// Reads without waiting. Returns None if there was nothing to read, contrary to the runtime's notification, or if the
 /// system is short of memory.
 async fn try_read(stream: &TcpStream, input: &mut BytesMut) -> io::Result<Option<ReadOutcome>> {
-    input.reserve(READ_BYTES);
+    reserve(input);
     match try_transfer(|| stream.try_read_buf(input))? {
         Transfer::Bytes(0) => Ok(Some(ReadOutcome::Closed)),
         Transfer::Bytes(_) => Ok(Some(ReadOutcome::Data)),
@@ -204,3 +201,23 @@
         }
     }
 }
+
+/// Reads once from the socket, past the runtime. The buffer is on the stack of this function: in an async one, each
+/// connection would hold it in memory.
+fn read_directly(stream: &TcpStream, input: &mut BytesMut) -> io::Result<Transfer> {
+    let mut bytes = [0; READ_BYTES];
+    // As much as `reserve` makes room for before a request is long.
+    let limit = if input.len() < READ_BYTES { READ_BYTES - input.len() } else { READ_BYTES };
+    let read = try_transfer(|| (&*SockRef::from(stream)).read(&mut bytes[..limit]))?;
+    if let Transfer::Bytes(count) = read {
+        input.extend_from_slice(&bytes[..count]);
+    }
+    Ok(read)
+}
+
+/// Makes room for the next read: for up to [`READ_BYTES`] in total or, beyond them, for the longest request at once. A
+/// buffer that grows step by step would take up to twice the memory.
+fn reserve(input: &mut BytesMut) {
+    let total = if input.len() < READ_BYTES { READ_BYTES } else { MAX_REQUEST_BYTES };
+    input.reserve(total.saturating_sub(input.len()).max(1));
+}
