Evict operators' connections whatever they wait for, after reading what has arrived

Cause: a connection that had its response was drained for up to 0.5 s and could not be evicted (admin/server.rs), so that 16 of them held all places; and an eviction was looked at before the request that had arrived. Ruled out: the event loop and the memory of the heads.

Change: the oldest connection is evicted in its drain as well, and reading comes first.

--- a/src/bin/delivery-gateway/admin/server.rs
+++ b/src/bin/delivery-gateway/admin/server.rs
@@ -1,4 +1,5 @@
-//! Accepts operators' connections. Their number is limited, and the slowest one is evicted for a new one.
+//! Accepts operators' connections. Their number is limited, and the oldest one is evicted for a new one: while its request
+//! is incomplete, or once it has its response. So neither slow nor bad requests keep others from being answered in time.
 
 use delivery_gateway::socket::{disable_nagle, RetryingStream};
 use std::cell::{Cell, RefCell};
@@ -17,7 +18,7 @@
 use super::routes::AdminEndpoint;
 use crate::rate_limited_log::RateLimitedLog;
 
-/// The number of open connections from which a new one evicts the connection that has waited longest for its request.
+/// The number of open connections from which a new one evicts the oldest.
 const MAX_BEFORE_EVICTION: usize = 8;
 /// The maximum number of connections, including those that are closing.
 const MAX_CONNECTIONS: usize = 16;
@@ -29,25 +30,25 @@
 /// The open connections.
 #[derive(Default)]
 struct Connections {
-    /// The eviction signals of the connections whose request is not complete yet, the oldest first.
-    incomplete: RefCell<VecDeque<Weak<Notify>>>,
+    /// The eviction signals of the connections that have not been evicted, the oldest first.
+    evictable: RefCell<VecDeque<Weak<Notify>>>,
     open: Cell<usize>,
 }
 
 impl Connections {
-    /// Counts one more connection, and evicts the slowest one if there are too many. Returns the guard that keeps the
-    /// connection counted, and its eviction signal, which is to be dropped once its request is complete.
+    /// Counts one more connection, and evicts the oldest one if there are too many. Returns the guard that keeps the
+    /// connection counted, and its eviction signal.
     fn register(self: Rc<Self>) -> (OpenConnection, Rc<Notify>) {
         let eviction = Rc::new(Notify::new());
         {
-            let mut incomplete = self.incomplete.borrow_mut();
-            incomplete.retain(|connection| connection.strong_count() > 0);
+            let mut evictable = self.evictable.borrow_mut();
+            evictable.retain(|connection| connection.strong_count() > 0);
             if self.open.get() >= MAX_BEFORE_EVICTION {
-                if let Some(slowest) = incomplete.pop_front().and_then(|slowest| slowest.upgrade()) {
-                    slowest.notify_one();
+                if let Some(oldest) = evictable.pop_front().and_then(|oldest| oldest.upgrade()) {
+                    oldest.notify_one();
                 }
             }
-            incomplete.push_back(Rc::downgrade(&eviction));
+            evictable.push_back(Rc::downgrade(&eviction));
         }
         self.open.set(self.open.get() + 1);
         (OpenConnection(self), eviction)
@@ -98,13 +99,13 @@
     disable_nagle(&stream);
     let mut stream = RetryingStream(stream);
     let request = tokio::select! {
+        // A request that has arrived is served, also on a connection that is evicted at once.
+        biased;
         request = timeout(REQUEST_TIMEOUT, read_request(&mut stream)) => {
             request.unwrap_or(Err(RequestError::TimedOut))
         }
         () = eviction.notified() => Err(RequestError::Evicted),
     };
-    // The rest takes little time, so the connection is no longer evicted.
-    drop(eviction);
     let is_evicted = matches!(request, Err(RequestError::Evicted));
     let response = match request {
         Ok(request) => endpoint.respond(&request).await,
@@ -117,5 +118,9 @@
     if is_evicted {
         return Ok(());
     }
-    drain(&mut stream).await
+    // An eviction before the response takes effect here.
+    tokio::select! {
+        drained = drain(&mut stream) => drained,
+        () = eviction.notified() => Ok(()),
+    }
 }
