Expect a refusal of each request that a client has begun when the process ends

Its client sends the rest of the refused request together with the start of another one.

Change: behind the first -BUSY the test accepts one more line, which must be -BUSY, and then the end of the connection, in the same time.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -198,7 +198,8 @@
 }
 
 /// A client that begins the next request with the end of each one always has an open request. It may not delay the exit
-/// until SIGKILL, which would cut off calls and replies, and its last request is refused instead of dropped.
+/// until SIGKILL, which would cut off calls and replies, and its last request is refused instead of dropped. The same holds
+/// for the one that the client has begun with the rest of the refused one, if that was still read.
 #[test]
 fn a_client_that_always_has_an_open_request_does_not_delay_the_exit() {
     let environment = TestEnvironment::new(1, 3.0);
@@ -217,6 +218,8 @@
         thread::sleep(Duration::from_millis(50));
     }
     assert_eq!(last_reply, "-BUSY");
+    let begun_since = client.try_read_line().unwrap_or_default();
+    assert!(begun_since == "-BUSY" || begun_since.is_empty(), "{begun_since:?}");
     assert!(client.is_closed());
     assert!(gateway.wait(KILL_TIMEOUT.saturating_sub(signalled_at.elapsed())).success());
     assert!(signalled_at.elapsed() > EARLIEST_EXIT);
