Shed no message that a restart found unattempted with half of its time left

Cause: a restored message was like any other (scheduler/restore.rs), and least_valuable (admission.rs) chooses by present value, which falls once a message is older than its latency objective. Ruled out: expiry, as they ended seconds before their time, and open circuits, which an existing test covers.

Change: such a message is not shed until it has been attempted; new ones are accepted up to the limit and shed among themselves. The frozen copy of the scheduler has the rule as well.

--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -29,8 +29,8 @@
 impl Scheduler {
     /// Returns whether to accept a new message rather than reject it. A lame duck accepts none after its
     /// grace period. If the gateway is nearly full, a message is accepted only if its value is higher than
-    /// that of the message to be shed for it plus the cost of shedding that one, or if all others are in
-    /// flight.
+    /// that of the message to be shed for it plus the cost of shedding that one, or if none of the others can
+    /// be shed.
     pub fn admits(&mut self, now: Time, accepted: &AcceptedMessage) -> bool {
         if self.lame_duck.rejects_messages(now) {
             return false;
@@ -145,11 +145,11 @@
         (self.settings.max_pending_messages as f64 * SHED_ABOVE_RATIO) as usize
     }
 
-    /// Returns the message of least value that is not in flight; of several the youngest.
+    /// Returns the message of least value that is not in flight and may be shed; of several the youngest.
     fn least_valuable(&self, now: Time) -> Option<LeastValuable<'_>> {
         self.messages
             .values()
-            .filter(|message| !message.is_completed && message.call.is_none())
+            .filter(|message| !message.is_completed && message.call.is_none() && !message.is_protected())
             .map(|message| {
                 let value = message_value::current(&self.settings, now, message);
                 LeastValuable { value, message }
--- a/src/scheduler/restore.rs
+++ b/src/scheduler/restore.rs
@@ -14,6 +14,8 @@
         self.on_message_accepted(now, restored.message);
         let Some(message) = self.messages.get_mut(&id) else { return };
         message.attempts = restored.attempts;
+        let time_left = message.accepted.deadline - now;
+        message.was_restored_in_time = time_left >= message.class(&self.settings).deadline / 2;
         if let Some(SentAttempt { sent_at, zone }) = restored.first_uncertain_attempt {
             let attempt = UncertainAttempt { sent_at, zone: Some(zone) };
             message.first_uncertain_attempt.get_or_insert(attempt);
--- a/src/scheduler/state/message.rs
+++ b/src/scheduler/state/message.rs
@@ -30,6 +30,8 @@
     pub awaits_acknowledgement: bool,
     /// Whether it was over its tenant's quota when accepted, and so has a lower value.
     pub is_over_quota: bool,
+    /// Whether a restart has found it unattempted with at least half of its time left.
+    pub was_restored_in_time: bool,
 }
 
 /// An attempt that may have been processed, though no success came back.
@@ -67,9 +69,16 @@
             is_completed: false,
             awaits_acknowledgement: false,
             is_over_quota,
+            was_restored_in_time: false,
         })
     }
 
+    /// Returns whether the message must not be shed for others: its client was told before a restart that it
+    /// was accepted, and it has not been attempted since.
+    pub fn is_protected(&self) -> bool {
+        self.was_restored_in_time && self.attempts == 0
+    }
+
     /// Returns the class of the message.
     pub fn class<'s>(&self, settings: &'s Settings) -> &'s Class {
         &settings.classes[usize::from(self.accepted.class.0)]
--- a/tests/reference/scheduler.rs
+++ b/tests/reference/scheduler.rs
@@ -525,6 +525,7 @@
         Some(Message {
             enqueued_at,
             is_over_quota,
+            was_restored_in_time: false,
             attempts: 0,
             call: None,
             first_uncertain_attempt: may_have_run.then_some((enqueued_at, None)),
@@ -543,6 +544,8 @@
         self.on_message_accepted(now, restored.message);
         let Some(message) = self.messages.get_mut(&id) else { return };
         message.attempts = restored.attempts;
+        let deadline = self.settings.classes[usize::from(message.accepted.class.0)].deadline;
+        message.was_restored_in_time = message.accepted.deadline - now >= deadline / 2;
         if let Some(SentAttempt { sent_at, zone }) = restored.first_uncertain_attempt {
             message.first_uncertain_attempt = message.first_uncertain_attempt.or(Some((sent_at, Some(zone))));
         }
@@ -1526,7 +1529,9 @@
 
     /// Returns the message of least value that is not in flight, with its value; of several the youngest.
     fn least_valuable(&self, now: Time) -> Option<(f64, &Message)> {
-        let waiting = self.messages.values().filter(|m| !m.is_completed && m.call.is_none());
+        let is_protected = |m: &Message| m.was_restored_in_time && m.attempts == 0;
+        let waiting =
+            self.messages.values().filter(|m| !m.is_completed && m.call.is_none() && !is_protected(m));
         waiting
             .map(|m| (self.current_value(now, m), m))
             .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.accepted.id.cmp(&a.1.accepted.id)))
--- a/tests/reference/state.rs
+++ b/tests/reference/state.rs
@@ -23,6 +23,8 @@
     pub awaits_acknowledgement: bool,
     /// Whether it was over its tenant's quota when accepted, and so has a lower value.
     pub is_over_quota: bool,
+    /// Whether a restart has found it unattempted with at least half of its time left.
+    pub was_restored_in_time: bool,
 }
 
 /// A call in flight. It takes one slot and has one outcome, however many messages it carries.
--- a/tests/scheduler_guarantees/restart.rs
+++ b/tests/scheduler_guarantees/restart.rs
@@ -106,3 +106,58 @@
         assert!(attempted as u32 * 2 > all, "seed {seed}: {attempted} of {all} attempted");
     }
 }
+
+/// A message of the gateway's clients after the restart has a number from here on.
+const FIRST_NEW_MESSAGE: u32 = 1000;
+
+/// New messages must not push out the ones that a restart found and that have not been attempted: these are older, and so
+/// of less value. Half of the destinations do not respond, so that what waits for them stays. More than half of the
+/// restored messages that may not be given up were given up for new ones that waited for the same destinations.
+#[test]
+fn new_messages_push_out_no_unattempted_message_of_before_a_restart() {
+    let classes = vec![idempotent_with_key(), non_idempotent(), idempotent()];
+    let settings = Settings { outcomes_need_acknowledgement: true, ..settings(classes) };
+    let listed = |number: u16| endpoint(u32::from(number), number);
+    let endpoints: Vec<Endpoint> = (1..=DESTINATIONS).map(listed).collect();
+    let restored = settings.max_pending_messages as u32 * 8 / 10;
+    let time_left = settings.classes[0].deadline * 6 / 10;
+    for seed in 1..=5 {
+        let mut bench = TestBench::new(settings.clone(), endpoints.clone());
+        bench.restart(settings.clone(), seed, endpoints.clone());
+        restore_messages(&mut bench, restored, time_left);
+        let deadline = bench.now + time_left;
+        let (mut attempted, mut given_up) = (vec![false; restored as usize], 0);
+        let (mut next_message, mut admitted) = (FIRST_NEW_MESSAGE, 0);
+        while bench.now < deadline - ms(100) {
+            // The last steps of a message's time are no early end.
+            for action in bench.decide() {
+                match action {
+                    Action::StartAttempt { message, endpoint, .. } => {
+                        if let Some(attempted) = attempted.get_mut(message.0 as usize) {
+                            *attempted = true;
+                        }
+                        if endpoint.0 % 2 == 0 {
+                            bench.finish(message.0, endpoint.0, AttemptOutcome::Delivered, LATENCY);
+                        }
+                    }
+                    Action::Reject { message, .. } | Action::ReportFailure { message } => {
+                        given_up += u32::from(attempted.get(message.0 as usize) == Some(&false));
+                    }
+                    _ => {}
+                }
+            }
+            let class = (next_message % CLASSES) as u8;
+            let destination = (next_message % u32::from(DESTINATIONS) + 1) as u16;
+            let class_and_id = (ClassId(class), &settings.classes[usize::from(class)]);
+            let message = accepted(bench.now, next_message, class_and_id, destination, None);
+            if bench.scheduler.admits(bench.now, &message) {
+                bench.handle(Event::MessageAccepted(message));
+                admitted += 1;
+            }
+            next_message += 1;
+            bench.now = bench.now + ms(10);
+        }
+        assert_eq!(given_up, 0, "seed {seed}: of {restored}, while {admitted} new ones were admitted");
+        assert!(admitted > 100, "seed {seed}: only {admitted} new messages were admitted");
+    }
+}
