Keep the buffer of pipelined requests while they are served

Cause: freeing the buffer of a long request before its reply copied all bytes behind each request of a client that pipelines many in one buffer of 72 KB, which multiplies their cost.

Change: the buffer is only replaced if few bytes follow.

--- a/src/bin/delivery-gateway/resp2/connection/mod.rs
+++ b/src/bin/delivery-gateway/resp2/connection/mod.rs
@@ -241,9 +241,10 @@
         }
     }
 
-    /// Frees the memory of a long request that has been decoded, before its reply is waited for.
+    /// Frees the memory of a long request that has been decoded, before its reply is waited for. Keeps it if many bytes
+    /// follow, which would be copied for each of their requests.
     fn free_long_buffer(&mut self) {
-        if self.input.capacity() > READ_BYTES {
+        if self.input.capacity() > READ_BYTES && self.input.len() < READ_BYTES {
             self.free_request_memory();
         }
     }
