Give the send guard the time that the scheduler gets with a Retry-After

Cause: apply_retry_after (event_loop/delivery.rs) read the clock again, so that the guard's wait ended some microseconds after the scheduler's.

Change: both get the time of the event.

--- a/src/bin/delivery-gateway/event_loop/delivery.rs
+++ b/src/bin/delivery-gateway/event_loop/delivery.rs
@@ -225,7 +225,7 @@
         result: &CallResult,
     ) {
         if let Some(delay) = result.retry_after {
-            self.apply_retry_after(endpoint, delay);
+            self.apply_retry_after(now, endpoint, delay);
             self.scheduler.handle(now, Event::RetryAfter { endpoint, delay });
         }
         // The scheduler rates an endpoint by the last outcome of a call. NotSent and AttemptsExhausted have no
@@ -241,10 +241,11 @@
     }
 
     /// Passes a `Retry-After` to the send guard, and withdraws the calls to the destination that are still connecting.
-    fn apply_retry_after(&mut self, endpoint: EndpointId, delay: Duration) {
+    /// `now` is the time that the scheduler gets with it: by another one, the guard would block the first attempt after it.
+    fn apply_retry_after(&mut self, now: Time, endpoint: EndpointId, delay: Duration) {
         let destination = self.directory.destination(endpoint);
         if let Some(receiver) = self.receiver(endpoint) {
-            self.guard.apply_retry_after(self.clock.now(), &receiver, delay);
+            self.guard.apply_retry_after(now, &receiver, delay);
         }
         if let Some(suppressed) = self.lines.retry_after.due() {
             let destination = destination.map(|destination| destination.0);
@@ -267,7 +268,7 @@
             debug!(id, attempt, endpoint = endpoint.0, ?outcome, ?latency, "attempt finished");
         }
         if let AttemptOutcome::Rejected(Some(delay)) = outcome {
-            self.apply_retry_after(endpoint, delay);
+            self.apply_retry_after(now, endpoint, delay);
         }
         if completes_message {
             self.counters.delivered += u32::from(outcome == AttemptOutcome::Delivered);
