Let the last end of an id replace the earlier one in a replay

What callers would see: a payment made a second time within the time for which its id has to be known, if the id had been used before, forgotten, and used again before a restart.

In service that is never met; a replay reads both ends, kept the age of the first, and forgot the id at once. Found by reading.

Change: an entry replaces the earlier one with the same id.

Result: the new test in tests/tombstones.rs failed before and passes now.

--- a/src/bin/delivery-gateway/journal/tombstones.rs
+++ b/src/bin/delivery-gateway/journal/tombstones.rs
@@ -110,12 +110,15 @@
         self.len() > self.max_count / 2
     }
 
-    /// Adds a tombstone. At the limit, forgets the oldest expendable one, or else the oldest one.
+    /// Adds a tombstone, in place of an earlier one with the same id. At the limit, forgets the oldest expendable one, or
+    /// else the oldest one.
     pub fn insert(&mut self, tombstone: Tombstone) {
         let id_hash = u64::from_le_bytes(tombstone.id_hash);
         let content_hash = u32::from_le_bytes(tombstone.content_hash);
         if self.content_hashes.insert(id_hash, content_hash).is_some() {
-            return;
+            // Only in a replay: while a tombstone is kept, its id is not used again.
+            self.expendable.retain(|entry| entry.id_hash != id_hash);
+            self.required.retain(|entry| entry.id_hash != id_hash);
         }
         let queue = if tombstone.is_expendable { &mut self.expendable } else { &mut self.required };
         queue.push_back(Entry { ended_s: tombstone.ended_s, id_hash });
--- a/tests/tombstones.rs
+++ b/tests/tombstones.rs
@@ -178,6 +178,24 @@
     deliver(&mut journal, "accepted", 2_000).unwrap();
 }
 
+/// An id whose tombstone was forgotten may be used again. A replay meets both ends, and kept the age of the first, so that
+/// the second was forgotten at once.
+#[test]
+fn a_replay_keeps_the_last_end_of_an_id() {
+    let folder = StateFolder::new("again");
+    let mut journal = folder.journal(DISK_BYTES);
+    let number = journal.accept(message("again")).unwrap();
+    journal.complete(number, 1_000, false).unwrap();
+    journal.state.tombstones.forget_until(1_000);
+    deliver(&mut journal, "again", 100_000).unwrap();
+    let mut journal = folder.journal(DISK_BYTES);
+    journal.state.tombstones.forget_until(99_000);
+    assert_eq!(find(&journal, "again"), Some(CompletedMatch::SameMessage));
+    assert_eq!((journal.state.tombstones.len(), journal.state.tombstones.iter().count()), (1, 1));
+    journal.state.tombstones.forget_until(100_000);
+    assert_eq!((find(&journal, "again"), journal.state.tombstones.len()), (None, 0));
+}
+
 /// Pending messages need room for their tombstones, or the last ones to end would push out others.
 #[test]
 fn pending_messages_reserve_room_for_their_tombstones() {
