Withdraw no message that has a final outcome

What callers would see: a message whose client left before its reply, and that had meanwhile been ended by a notification, was withdrawn without a tombstone. Its id was free while the notification was still repeated, which would have ended the next message under that id.

Cause: withdraw_if_abandoned (event_loop/admission.rs) asked only whether the message may have run. Found by reading. It also stopped an unsent call of a message that another client expects.

Change: a message with a final outcome stays until that is acknowledged, and leaves a tombstone. Only a call of an abandoned message is stopped.

Result: the new test in tests/departed_clients.rs failed before and passes now.

--- a/src/bin/delivery-gateway/event_loop/admission.rs
+++ b/src/bin/delivery-gateway/event_loop/admission.rs
@@ -117,22 +117,24 @@
 
     /// Withdraws a message whose client disconnected before the reply that it was accepted.
     pub(super) fn withdraw_unacknowledged(&mut self, now: Time, message: MessageId) {
-        if let Some(pending) = self.journal.state.pending.get(&message.0) {
-            self.pending.mark_abandoned(&pending.message.id);
+        let Some(pending) = self.journal.state.pending.get(&message.0) else { return };
+        self.pending.mark_abandoned(&pending.message.id);
+        if self.pending.is_abandoned(&pending.message.id) {
             // A call that has been sent goes on: its outcome decides whether the message is withdrawn.
             self.in_flight.stop(message, StopReason::Withdrawn);
             self.withdraw_if_abandoned(now, message);
         }
     }
 
-    /// Drops a message whose client disconnected before the reply, if it certainly has not run. Its id is free again
-    /// then. Otherwise the message stays and is delivered like any other, because its id must not be forgotten: the
-    /// client may repeat its request, which would run the message again. A message that a later request was acknowledged
-    /// for stays as well, because that client expects its outcome.
+    /// Drops a message whose client disconnected before the reply, if it certainly has not run and has no final outcome.
+    /// Its id is free again then. Otherwise the message stays and ends like any other, because its id must not be
+    /// forgotten: the client may repeat its request, which would run the message again. A message that a later request
+    /// was acknowledged for stays as well, because that client expects its outcome.
     pub(super) fn withdraw_if_abandoned(&mut self, now: Time, message: MessageId) {
         let Some(pending) = self.journal.state.pending.get(&message.0) else { return };
         let id = &pending.message.id;
-        if pending.may_have_run() || !self.pending.is_abandoned(id) {
+        let must_be_known = pending.may_have_run() || pending.final_outcome.is_some();
+        if must_be_known || !self.pending.is_abandoned(id) {
             return;
         }
         self.pending.remove(id);
--- a/src/bin/delivery-gateway/event_loop/mod.rs
+++ b/src/bin/delivery-gateway/event_loop/mod.rs
@@ -51,7 +51,8 @@
 
 /// The maximum number of events handled in one step of the loop, before the next decision of the scheduler.
 const MAX_EVENTS_PER_STEP: usize = 256;
-/// The interval between sweeps. Each closes expired idle connections and forgets old tombstones; every [`REPORT_SWEEPS`]th logs the load.
+/// The interval between sweeps. Each closes expired idle connections and forgets old tombstones; every
+/// [`REPORT_SWEEPS`]th logs the load.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The minimum time from a message's end for which its tombstone is kept, unless its room is needed. The settings may
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -89,6 +89,26 @@
     environment.expect_nothing();
 }
 
+/// A message may have its outcome before its client is known to have left. It was withdrawn all the same, and its id was
+/// free while its notification was still repeated: that would have ended the message that took the id next.
+#[test]
+fn an_abandoned_message_that_was_ended_by_a_notification_is_known() {
+    let environment = TestEnvironment::with_faults(1, 1);
+    environment.hold_notifications(true);
+    let gateway = environment.start();
+    environment.fail(SystemCall::TcpWrite, Fault::always(&[libc::EPIPE]).times(1));
+    let mut client = gateway.client();
+    client.send_command(&["ENQUEUE", "0", "p1", "d=0,c=salary,dest=1", "pay"]);
+    assert!(client.is_closed());
+    assert!(environment.notification().contains(r#""id":"p1""#));
+    assert_eq!(gateway.client().enqueue("p1", "0", "salary", 1, b"pay"), "+OK");
+    // The notification is repeated until it is acknowledged.
+    environment.hold_notifications(false);
+    while let Some(event) = environment.event_within(Duration::from_millis(300)) {
+        assert!(matches!(event, StubEvent::Notification(_)), "the message was sent after its end");
+    }
+}
+
 /// A handover between the lost reply and the repeated request: the successor must know the payment, whether its call is
 /// finished by the predecessor or has to end before the handover.
 #[test]
